--- /dev/null
+++ b/lilacsill/agent.py
@@ -0,0 +1,189 @@
+"""The agent: the only caller of the decision module, which carries out what it decides."""
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from brasshead import interface as q
+from brasshead.logic import Balancer
+
+from .backends import Ask, Backends, Exchange, Result
+from .clock import Clock
+from .connection import Headers
+from .discovery import Discovery, Listing
+from .server import Call
+
+log = logging.getLogger(__name__)
+
+# The module answers when a request's time is up; were it to fail, the agent answers this much later, within
+# the 50 ms that the protocol allows.
+OVERDUE_S = 0.025
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A request without its final answer."""
+
+    call: Call
+    overdue: asyncio.TimerHandle
+    attempts: int = 0
+
+
+class Agent:
+    """Hands events to the module one at a time, in order of arrival, and carries out its actions."""
+
+    def __init__(self, balancer: Balancer, clock: Clock, backends: Backends, discovery: Discovery) -> None:
+        self._balancer, self._clock = balancer, clock
+        self._backends, self._discovery = backends, discovery
+        self._loop = asyncio.get_running_loop()
+        self._held: dict[int, Held] = {}
+        self._out: dict[tuple[int, int], Exchange] = {}  # attempts without an end
+        self._events: deque[q.Event] = deque()
+        self._handling = False
+        self._taken = 0
+        self._carriers: dict[type, Callable[[Any], None]] = {
+            q.Send: self._send, q.Refuse: self._refuse, q.Fail: self._fail, q.Cancel: self._cancel,
+            q.SetTimer: self._set_timer, q.Probe: self._probe, q.Watch: self._watch, q.Fetch: self._fetch,
+            q.Log: self._log,
+        }
+
+    def start(self, known: Listing) -> None:
+        self._post(q.BackendsChanged(q.ListKind.CACHED, self._backends.told(known)))
+
+    # The application's side
+
+    def take(self, call: Call) -> None:
+        self._taken += 1
+        call.number = self._taken
+        overdue = self._loop.call_later(call.patience_us / 1e6 + OVERDUE_S, self._overdue, call.number)
+        self._held[call.number] = Held(call, overdue)
+        self._post(q.RequestArrived(
+            call.number, call.request_class, call.patience_us, call.tenant, call.key, call.cost_us,
+            call.is_retry))
+
+    def leave(self, call: Call) -> None:
+        if self._over(call.number) is not None:
+            self._post(q.ClientGone(call.number))
+
+    def _overdue(self, number: int) -> None:
+        log.error("request %d: no answer from the module in time", number)
+        self._give_up(number)
+
+    def _give_up(self, number: int) -> None:
+        """The final answer where the module gave none. A failure is always true."""
+        if number in self._held:
+            self._answer(number, 500, [], b"failed\n")
+            self._post(q.ClientGone(number))
+
+    def _answer(self, number: int, status: int, headers: Headers, body: bytes) -> None:
+        held = self._over(number)
+        if held is not None:
+            held.call.respond(held.call, status, headers, body)
+
+    def _over(self, number: int) -> Held | None:
+        """Nothing more goes out for this request: what is still out is closed before its answer is given."""
+        held = self._held.pop(number, None)
+        if held is not None:
+            held.overdue.cancel()
+            for attempt in range(held.attempts):
+                if (number, attempt) in self._out:
+                    self._out[number, attempt].cancel()
+        return held
+
+    # Events in
+
+    def _post(self, event: q.Event) -> None:
+        """Queued while another is handled: an action may end at once, and handle must not be re-entered."""
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._handling = False
+
+    def _handle(self, event: q.Event) -> None:
+        try:
+            actions = self._balancer.handle(self._clock.now(), event)
+        except Exception:
+            # The request that the module stumbled on is still owed its answer, and others are to go on.
+            log.exception("the module failed on %s", type(event).__name__)
+            number = getattr(event, "request", 0)
+            self._give_up(number)
+            return
+        for action in actions:
+            try:
+                self._carriers[type(action)](action)
+            except Exception:
+                log.exception("could not carry out %s", type(action).__name__)
+                self._give_up(getattr(action, "request", 0))
+
+    # Actions out
+
+    def _send(self, a: q.Send) -> None:
+        held = self._held.get(a.request)
+        if held is None:
+            return
+        number, attempt = a.request, held.attempts
+        held.attempts += 1
+        call = held.call
+        ask = Ask(call.method, call.target, call.headers, call.body, told_timeout=True)
+
+        def done(result: Result) -> None:
+            self._out.pop((number, attempt), None)
+            self._attempt_ended(number, attempt, a.backend, result)
+
+        exchange = self._backends.exchange(a.backend, ask, a.timeout_us, done)
+        if not exchange.ended:
+            self._out[number, attempt] = exchange
+
+    def _attempt_ended(self, number: int, attempt: int, backend: q.BackendId, result: Result) -> None:
+        if result.outcome is q.Outcome.OK:
+            kind = [("Content-Type", result.content_type)] if result.content_type else []
+            self._answer(number, 200, kind, result.body)
+        self._post(q.AttemptEnded(
+            number, attempt, backend, result.outcome, result.latency_us, number not in self._held,
+            result.report))
+
+    def _refuse(self, a: q.Refuse) -> None:
+        advice = [("Retry-After", f"{a.retry_after_us / 1e6:.3f}")] if a.retry_after_us else []
+        self._answer(a.request, 503, advice, b"refused\n")
+
+    def _fail(self, a: q.Fail) -> None:
+        self._answer(a.request, 502, [], b"failed\n")
+
+    def _cancel(self, a: q.Cancel) -> None:
+        exchange = self._out.get((a.request, a.attempt))
+        if exchange is not None:
+            exchange.cancel()
+
+    def _set_timer(self, a: q.SetTimer) -> None:
+        self._loop.call_later(a.delay_us / 1e6, self._post, q.TimerFired(a.token))
+
+    def _probe(self, a: q.Probe) -> None:
+        def done(result: Result) -> None:
+            self._post(q.ProbeEnded(a.backend, result.outcome, result.latency_us, result.report))
+
+        self._backends.probe(a.backend, done)
+
+    def _watch(self, a: q.Watch) -> None:
+        self._discovery.watch(self._listed)
+
+    def _fetch(self, a: q.Fetch) -> None:
+        self._discovery.fetch(self._listed)
+
+    def _listed(self, listing: Listing | None) -> None:
+        if listing is None:
+            self._post(q.BackendsChanged(q.ListKind.FAILED, []))
+            return
+        kind = q.ListKind.FULL if listing.complete else q.ListKind.DELTA
+        self._post(q.BackendsChanged(kind, self._backends.told(listing)))
+
+    def _log(self, a: q.Log) -> None:
+        log.info("%s", a.text)
--- /dev/null
+++ b/lilacsill/config.py
@@ -0,0 +1,68 @@
+"""RELAY_CONFIG as typed values."""
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from brasshead.interface import Settings
+from brasshead.settings import SettingsError, settings_from
+
+from .clock import Clock
+from .discovery import Address, Listing, ListingParser, parse_address
+
+
+class ConfigError(Exception):
+    """The configuration is missing or wrong; the text says what, in one line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int  # file descriptors this process may hold
+    known: Listing
+    parser: ListingParser
+    settings: Settings
+    connect_timeout_us: int
+    conn_idle_us: int
+
+
+def load(env: Mapping[str, str], clock: Clock) -> Config:
+    """Read the file that RELAY_CONFIG names."""
+    path = env.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("RELAY_CONFIG is not set")
+    try:
+        doc = json.loads(Path(path).read_text())
+    except (OSError, ValueError) as e:
+        raise ConfigError(f"RELAY_CONFIG: {e}") from None
+    try:
+        return _config(doc, env, clock)
+    except KeyError as e:
+        raise ConfigError(f"RELAY_CONFIG: {e} is missing") from None
+    except (TypeError, AttributeError, ValueError, OverflowError, SettingsError) as e:
+        raise ConfigError(f"RELAY_CONFIG: {e}") from None
+
+
+def _config(doc: dict[str, Any], env: Mapping[str, str], clock: Clock) -> Config:
+    facts = doc["settings"]
+    allowed = facts["allowed"]
+    parser = ListingParser(clock, tuple(facts.get("localities") or ()), tuple(facts.get("skus") or ()))
+    return Config(
+        name=str(doc.get("name") or env.get("RELAY_NAME") or ""),
+        listen=parse_address(env.get("RELAY_LISTEN") or doc["listen"]),
+        discovery=parse_address(env.get("RELAY_DISCOVERY") or doc["discovery"]),
+        seed=int(doc["seed"], 16),
+        sockets=int((doc.get("limits") or {}).get("sockets") or 1024),
+        known=parser.parse(doc["known"]),
+        parser=parser,
+        # The agent has no channel to its peers, so the module must not count on one.
+        settings=replace(settings_from(facts), can_tell=False),
+        connect_timeout_us=int(allowed["connectTimeoutUs"]),
+        conn_idle_us=int(allowed["connIdleUs"]),
+    )
--- /dev/null
+++ b/lilacsill/discovery.py
@@ -0,0 +1,195 @@
+"""The list of backends: its form, and the watch that keeps it up to date."""
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+
+from brasshead.interface import Backend, State
+
+from .clock import Clock
+from .connection import Connection
+
+log = logging.getLogger(__name__)
+
+PATH = "/catalog/members"
+WAIT_MS = 20_000  # long: each call costs discovery, which all agents share
+ANSWER_S = 2.0  # what discovery has to tell counts as told this long after the wait is over
+ANSWER_BYTES = 4 * 1024 * 1024  # of an answer
+STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
+
+
+@dataclass(slots=True, frozen=True)
+class Address:
+    host: str
+    port: int
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    backend: Backend
+    address: Address
+
+    def same_process(self, other: Member | None) -> bool:
+        """Whether a connection to the one leads to the other."""
+        return (other is not None and self.address == other.address
+                and self.backend.started_at == other.backend.started_at)
+
+
+@dataclass(slots=True, frozen=True)
+class Listing:
+    """An answer of discovery: the whole list, or what has changed."""
+
+    revision: int
+    complete: bool
+    members: tuple[Member, ...]
+
+
+def parse_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"no address: {text!r}")
+    return Address(host, int(port))
+
+
+class ListingParser:
+    """Turns discovery's JSON into a Listing; raises ValueError on anything that does not fit its form."""
+
+    def __init__(self, clock: Clock, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
+        self._clock = clock
+        self._zones = {name: i for i, name in enumerate(zones)}
+        self._kinds = {name: i for i, name in enumerate(kinds)}
+
+    def parse(self, doc: Any) -> Listing:
+        try:
+            members = tuple(self._member(m) for m in doc["members"])
+            return Listing(int(doc["revision"]), bool(doc["complete"]), members)
+        except (KeyError, TypeError, AttributeError, OverflowError) as e:
+            raise ValueError(f"list of backends: {type(e).__name__} {e}") from None
+
+    def _member(self, m: Any) -> Member:
+        backend = Backend(
+            str(m["id"]), STATES[m["phase"]], self._zones.get(m.get("locality"), 0), int(m.get("cell") or 0),
+            self._kinds.get(m.get("flavor"), 0), float(m.get("size") or 1.0),
+            self._clock.from_unix_ms(int(m.get("up_since_ms") or 0)),
+        )
+        return Member(backend, parse_address(m["host_port"]))
+
+
+class _Call(Connection):
+    """A connection to discovery; one call at a time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._answer: asyncio.Future[bytes] | None = None
+        self._status = 0
+        self._body = bytearray()
+
+    async def get(self, target: str) -> bytes:
+        """The body of a 200; anything else raises."""
+        self._status, self._body = 0, bytearray()
+        self._answer = asyncio.get_running_loop().create_future()
+        request = h11.Request(method="GET", target=target, headers=[("Host", "discovery")])
+        self.send(request, h11.EndOfMessage())
+        return await self._answer
+
+    def on_event(self, event: h11.Event) -> None:
+        if isinstance(event, h11.Response):
+            self._status = event.status_code
+        elif isinstance(event, h11.Data):
+            self._body += event.data
+            if len(self._body) > ANSWER_BYTES:
+                self._end(ConnectionError("answer too long"))
+        elif isinstance(event, h11.EndOfMessage):
+            reusable = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+            if reusable:
+                self.http.start_next_cycle()
+            else:
+                self.closed = True
+            self._end(None if self._status == 200 else ConnectionError(f"status {self._status}"))
+
+    def on_broken(self, error: Exception) -> None:
+        self._end(error)
+
+    def on_end(self) -> None:
+        self.closed = True
+        self._end(ConnectionError("connection ended"))
+
+    def _end(self, error: Exception | None) -> None:
+        answer, self._answer = self._answer, None
+        if answer is None or answer.done():
+            return
+        if error is None:
+            answer.set_result(bytes(self._body))
+        else:
+            answer.set_exception(error)
+
+
+class Discovery:
+    """Asks discovery. A watch goes on by itself from call to call until a call fails."""
+
+    def __init__(self, address: Address, parser: ListingParser, revision: int, connect_s: float) -> None:
+        self._address, self._parser, self._connect_s = address, parser, connect_s
+        self._revision = revision
+        self._watching: asyncio.Task[None] | None = None
+        self._fetches: set[asyncio.Task[None]] = set()
+
+    def watch(self, told: Callable[[Listing | None], None]) -> None:
+        """Report every change from now on; None, once, when the watch has broken."""
+        if self._watching is None or self._watching.done():
+            self._watching = asyncio.get_running_loop().create_task(self._watch(told))
+
+    def fetch(self, told: Callable[[Listing | None], None]) -> None:
+        """Report the whole list once, or None."""
+        task = asyncio.get_running_loop().create_task(self._fetch(told))
+        self._fetches.add(task)
+        task.add_done_callback(self._fetches.discard)
+
+    async def _watch(self, told: Callable[[Listing | None], None]) -> None:
+        call: _Call | None = None
+        try:
+            while True:
+                if call is None or call.closed:
+                    call = await self._connect()
+                target = f"{PATH}?index={self._revision}&wait={WAIT_MS}"
+                listing = await self._ask(call, target, WAIT_MS / 1000 + ANSWER_S)
+                self._revision = listing.revision
+                if listing.members or listing.complete:
+                    told(listing)
+        except (OSError, TimeoutError, ValueError, h11.ProtocolError) as e:
+            log.info("watch on discovery broke: %s", e or type(e).__name__)
+        except Exception:
+            log.exception("watch on discovery failed")
+        finally:
+            if call is not None:
+                call.drop()
+        self._watching = None  # before the report: the answer to it may be the next watch
+        told(None)
+
+    async def _fetch(self, told: Callable[[Listing | None], None]) -> None:
+        call: _Call | None = None
+        listing: Listing | None = None
+        try:
+            call = await self._connect()
+            listing = await self._ask(call, PATH, ANSWER_S)
+        except (OSError, TimeoutError, ValueError, h11.ProtocolError) as e:
+            log.info("call to discovery failed: %s", e or type(e).__name__)
+        finally:
+            if call is not None:
+                call.drop()
+        told(listing)
+
+    async def _connect(self) -> _Call:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(self._connect_s):
+            _, call = await loop.create_connection(_Call, self._address.host, self._address.port)
+        return call
+
+    async def _ask(self, call: _Call, target: str, limit_s: float) -> Listing:
+        async with asyncio.timeout(limit_s):
+            return self._parser.parse(json.loads(await call.get(target)))
