A client that sends ahead cannot fill the agent's memory

Cause: while a request is in hand h11 keeps what follows, and nothing bounded it (server.py, data_received): 64 MB sent behind one request were all held. Reading now pauses past 128 KiB until the request is answered. Without the pause the new test never sees it and ends at its time-out. Excluded: bodies (bounded at 64 KiB), headers (h11's limit), backends' and discovery's answers (bounded). Also in the tests: a cancelled wait for a request left readers behind that could swallow the very request that nothing_sent() looks for.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -20,6 +20,7 @@
 
 API, HEALTH = "/api", "/_health"
 BODY_LIMIT = 64 * 1024
+AHEAD_LIMIT = 128 * 1024  # of what comes while a request is in hand
 TIMEOUT_LIMIT_MS = 24 * 3600 * 1000
 LINGER_S = 1.0  # after an answer given in the middle of a request
 POLL_S = 0.01  # while the last requests end
@@ -158,6 +159,13 @@
         super().connection_lost(exc)
         self._server.connections.discard(self)
 
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        # What a client sends ahead is kept unread in memory: without a bound one client could fill it.
+        ahead = len(self.http.trailing_data[0]) if self._call is not None else 0
+        if ahead > AHEAD_LIMIT and self.transport is not None:
+            self.transport.pause_reading()
+
     def on_event(self, event: h11.Event) -> None:
         try:
             if isinstance(event, h11.Request):
@@ -223,6 +231,7 @@
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
             self._request = None
+            self.transport.resume_reading()  # no effect where it was not paused
             if self.http.trailing_data[0]:
                 asyncio.get_running_loop().call_soon(self.resume_reading)
         elif whole:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -182,10 +182,12 @@
     async def request(self) -> Message:
         """The next request that reaches any backend."""
         waiting = [asyncio.create_task(b.requests.get()) for b in self.backends]
-        done, rest = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-        for task in rest:
-            task.cancel()
-        return done.pop().result()
+        try:
+            done, _ = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            return done.pop().result()
+        finally:
+            for task in waiting:  # one left waiting would swallow a later request
+                task.cancel()
 
     def nothing_sent(self) -> bool:
         return all(b.requests.empty() for b in self.backends)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -77,6 +77,24 @@
     asyncio.run(run())
 
 
+def test_what_is_sent_ahead_is_read_up_to_a_bound_only(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.ask(post())
+            got = await w.request()
+            client.writer.write(b"x" * 64_000_000)
+            (connection,) = w.server.connections
+            assert connection.transport is not None
+            while connection.transport.is_reading():
+                await asyncio.sleep(0)
+            assert len(connection.http.trailing_data[0]) < 1_000_000
+            await got.answer()
+            assert (await client.read()).status == 200
+            assert (await client.read()).status == 400  # what came ahead was no request
+
+    asyncio.run(run())
+
+
 def test_beyond_the_limit_an_idle_connection_makes_way(tmp_path: Path) -> None:
     async def run() -> None:
         async with world(tmp_path, most=66) as w:  # one client connection
