--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -11,6 +11,7 @@
 from brasshead.interface import Outcome
 from lilacsill.backends import Ask, Backends, Result, parse_report
 from lilacsill.clock import Clock
+from lilacsill.connection import Connection
 from lilacsill.discovery import Listing, ListingParser
 
 FIELDS = ("inflight", "queue", "util")
@@ -161,6 +162,24 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+@pytest.mark.parametrize("warm", [False, True])
+def test_a_fault_while_an_attempt_is_written_ends_it(monkeypatch: pytest.MonkeyPatch, warm: bool) -> None:
+    def send(self: Connection, *events: object) -> None:
+        raise ValueError("no such header")
+
+    async def run() -> None:
+        peer = await Peer().start()
+        b = backends(peer.port)
+        if warm:
+            await served(b, peer)
+        monkeypatch.setattr(Connection, "send", send)
+        # Whether it ran is not known then.
+        assert (await begin(b)).outcome is Outcome.RESET
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
 def test_idle_connections_are_retired_before_the_backend_does() -> None:
     async def run() -> None:
         peer = await Peer().start()
