A request with both Content-Length and Transfer-Encoding is answered 400 and its connection closed

Checked: a loopback test with one request whose body holds another. By h11's rule the chunked form won and the rest was read as the next request; it reached a backend. Ruled out: pipelining itself, which serves in order (tested). To blame: _Client._begin looked at Content-Length alone.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -197,6 +197,10 @@
 
     def _begin(self, request: h11.Request) -> None:
         self._request, self._body = request, bytearray()
+        names = [name for name, _ in request.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            # Whoever reads the other length sees another request in the body: none of it is believed.
+            raise Rejected(400, "both Content-Length and Transfer-Encoding")
         length = header(list(request.headers), b"content-length")
         if length is not None and int(length) > BODY_LIMIT:
             raise Rejected(413, "body too large")
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -36,6 +36,11 @@
 }
 
 
+# The same bytes are one request by their length, two by their chunks.
+HIDDEN = b"0\r\n\r\n" + post(body=b"hidden")
+BAD["a request hidden in the body"] = (post(body=HIDDEN, Transfer_Encoding="chunked"), 400)
+
+
 @pytest.mark.parametrize("name", BAD)
 def test_bad_input_is_answered_and_goes_nowhere(tmp_path: Path, name: str) -> None:
     request, status = BAD[name]
