SIGHUP reads the configuration again and moves to its discovery

Checked: signal handlers in __main__ cover TERM and INT only; the default action of HUP ends the process. Ruled out: the watch as a cause of its own, it goes on from call to call. To blame: __main__.serve, and Discovery, whose address was fixed for life. Done: RELAY_CONFIG is read again without RELAY_DISCOVERY; the old watch is cancelled unreported, the new address is asked for the whole list first, since versions of the one mean nothing to the other. A file that cannot be used is one log line. HUP before the handler stands is ignored: the file is read after it.

--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -1,4 +1,7 @@
-"""Starts the agent: ``python -m lilacsill``, configured by RELAY_CONFIG. Stops in order on SIGTERM."""
+"""Starts the agent: ``python -m lilacsill``, configured by RELAY_CONFIG.
+
+SIGHUP reads the configuration again; SIGTERM stops in order.
+"""
 from __future__ import annotations
 
 import asyncio
@@ -13,7 +16,7 @@
 from .agent import Agent
 from .backends import Backends
 from .clock import Clock
-from .config import Config, ConfigError, load
+from .config import Config, ConfigError, load, load_again
 from .discovery import Discovery
 from .server import DrainTimes, Server
 
@@ -42,6 +45,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     agent, server = assemble(config, clock)
+    loop.add_signal_handler(signal.SIGHUP, _reload, agent, clock)
     agent.start(config.known)
     try:
         port = await server.listen(config.listen)
@@ -56,6 +60,17 @@
     return 0
 
 
+def _reload(agent: Agent, clock: Clock) -> None:
+    """Move to the discovery that the file now names; a file that cannot be used changes nothing."""
+    try:
+        config = load_again(os.environ, clock)
+    except ConfigError as e:
+        log.error("the old configuration stays: %s", e)
+        return
+    log.info("configuration read again; discovery at %s:%d", config.discovery.host, config.discovery.port)
+    agent.move(config.discovery)
+
+
 def _unhandled(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     """What no one caught is logged and ends neither the process nor other requests."""
     log.error("unhandled: %s", context.get("message"), exc_info=context.get("exception"))
@@ -64,6 +79,8 @@
 def main() -> int:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     clock = Clock()
+    # One that comes before it is handled is no loss: the file is read after this.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         config = load(os.environ, clock)
     except ConfigError as e:
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -14,7 +14,7 @@
 from .backends import Ask, Backends, Exchange, Result
 from .clock import Clock
 from .connection import Headers
-from .discovery import Discovery, Listing
+from .discovery import Address, Discovery, Listing
 from .server import Call
 
 log = logging.getLogger(__name__)
@@ -54,6 +54,10 @@
     def start(self, known: Listing) -> None:
         self._post(q.BackendsChanged(q.ListKind.CACHED, self._backends.told(known)))
 
+    def move(self, discovery: Address) -> None:
+        """Learn of backends there from now on."""
+        self._discovery.move(discovery, self._listed)
+
     # The application's side
 
     def take(self, call: Call) -> None:
--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -49,6 +49,11 @@
         raise ConfigError(f"RELAY_CONFIG: {e}") from None
 
 
+def load_again(env: Mapping[str, str], clock: Clock) -> Config:
+    """Read it anew while running. RELAY_DISCOVERY is as old as the process: now the file's address counts."""
+    return load({k: v for k, v in env.items() if k != "RELAY_DISCOVERY"}, clock)
+
+
 def _config(doc: dict[str, Any], env: Mapping[str, str], clock: Clock) -> Config:
     facts = doc["settings"]
     allowed = facts["allowed"]
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -135,7 +135,7 @@
 
     def __init__(self, address: Address, parser: ListingParser, revision: int, connect_s: float) -> None:
         self._address, self._parser, self._connect_s = address, parser, connect_s
-        self._revision = revision
+        self._revision: int | None = revision  # None: the next call asks for the whole list
         self._watching: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
 
@@ -150,13 +150,27 @@
         self._fetches.add(task)
         task.add_done_callback(self._fetches.discard)
 
+    def move(self, address: Address, told: Callable[[Listing | None], None]) -> None:
+        """Leave the old address, whose calls end unreported, and begin at the new one with the whole list:
+        versions of the one mean nothing to the other."""
+        if address == self._address:
+            return
+        for task in (self._watching, *self._fetches):
+            if task is not None:
+                task.cancel()
+        self._address, self._revision, self._watching = address, None, None
+        self.watch(told)
+
     async def _watch(self, told: Callable[[Listing | None], None]) -> None:
         call: _Call | None = None
         try:
             while True:
                 call = await self._connected(call)
-                target = f"{PATH}?index={self._revision}&wait={WAIT_MS}"
-                listing = await self._ask(call, target, WAIT_MS / 1000 + ANSWER_S)
+                if self._revision is None:
+                    listing = await self._ask(call, PATH, ANSWER_S)
+                else:
+                    target = f"{PATH}?index={self._revision}&wait={WAIT_MS}"
+                    listing = await self._ask(call, target, WAIT_MS / 1000 + ANSWER_S)
                 self._revision = listing.revision
                 if listing.members or listing.complete:
                     told(listing)
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,131 @@
+"""SIGHUP: the agent goes on, and moves to the discovery that its configuration now names."""
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+from tests.loopback import Conversation, Message, Peer, config_doc, member, post
+
+
+def whole(revision: int, *members: dict[str, Any]) -> bytes:
+    return json.dumps({"revision": revision, "complete": True, "members": members}).encode()
+
+
+class Running:
+    """The agent as a process, and the lines of its log."""
+
+    def __init__(self, folder: Path) -> None:
+        self._path = folder / "config.json"
+
+    def write(self, text: str) -> None:
+        fresh = self._path.with_suffix(".new")
+        fresh.write_text(text)
+        fresh.replace(self._path)
+
+    async def start(self, doc: dict[str, Any]) -> None:
+        self.write(json.dumps(doc))
+        # The environment names the first discovery for as long as the process lives.
+        env = {**os.environ, "RELAY_CONFIG": str(self._path), "RELAY_DISCOVERY": doc["discovery"]}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lilacsill", env=env, stderr=asyncio.subprocess.PIPE)
+        self.port = int((await self.line("listens on")).rpartition(":")[2])
+
+    async def line(self, part: str) -> str:
+        assert self.process.stderr is not None
+        while part.encode() not in (line := await self.process.stderr.readline()):
+            assert line, "ended"
+        return line.decode()
+
+    async def client(self) -> Conversation:
+        return Conversation(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    async def stop(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+        assert await self.process.wait() == 0
+
+
+async def list_call(discovery: Peer) -> Message:
+    """The next call there must be for the whole list."""
+    call = await discovery.requests.get()
+    assert call.first == "GET /catalog/members HTTP/1.1"
+    return call
+
+
+def test_a_reload_moves_to_the_new_discovery_and_keeps_what_is_open(tmp_path: Path) -> None:
+    async def run() -> None:
+        old, new, first, second = [await Peer().start() for _ in range(4)]
+        agent = Running(tmp_path)
+        doc = config_doc(old.port, [member("a", first.port)])
+        await agent.start(doc)
+        watch = await old.requests.get()
+        held = await agent.client()
+        await held.write(post())
+        got = await first.requests.get()
+        agent.write(json.dumps(doc | {"discovery": f"127.0.0.1:{new.port}"}))
+        agent.process.send_signal(signal.SIGHUP)
+        call = await list_call(new)
+        await watch.peer.ended()
+        await call.answer(200, whole(7, member("b", second.port)))
+        assert "index=7&" in (await new.requests.get()).first
+        await got.answer()
+        assert (await held.read()).status == 200
+        # Who is not in the new list is gone.
+        await held.write(post())
+        await (await second.requests.get()).answer()
+        assert (await held.read()).status == 200
+        assert first.requests.empty() and old.requests.empty()
+        await agent.stop()
+        for peer in (old, new, first, second):
+            await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+def test_a_bad_file_changes_nothing_and_several_reloads_end_at_the_last(tmp_path: Path) -> None:
+    async def run() -> None:
+        old, between, last = [await Peer().start() for _ in range(3)]
+        agent = Running(tmp_path)
+        doc = config_doc(old.port, [])
+        await agent.start(doc)
+        watch = await old.requests.get()
+        for text in ("{", "", json.dumps(doc | {"discovery": "nowhere"})):
+            agent.write(text)
+            agent.process.send_signal(signal.SIGHUP)
+            await agent.line("the old configuration stays")
+        assert not watch.peer.told_of_close()
+        for peer in (between, last):
+            agent.write(json.dumps(doc | {"discovery": f"127.0.0.1:{peer.port}"}))
+            agent.process.send_signal(signal.SIGHUP)
+            call = await list_call(peer)
+        await call.answer(200, whole(3))
+        assert "index=3&" in (await last.requests.get()).first
+        agent.process.send_signal(signal.SIGHUP)
+        await agent.stop()  # right behind it
+        for peer in (old, between, last):
+            await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+def test_a_new_discovery_that_fails_is_asked_for_the_whole_list_again(tmp_path: Path) -> None:
+    async def run() -> None:
+        old, new = await Peer().start(), await Peer().start()
+        agent = Running(tmp_path)
+        doc = config_doc(old.port, [])
+        await agent.start(doc)
+        await old.requests.get()
+        agent.write(json.dumps(doc | {"discovery": f"127.0.0.1:{new.port}"}))
+        agent.process.send_signal(signal.SIGHUP)
+        await (await list_call(new)).answer(503, b"")
+        await (await list_call(new)).answer(200, whole(9))
+        assert "index=9&" in (await new.requests.get()).first
+        await agent.stop()
+        await old.stop()
+        await new.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
