HTTP/1.1 through httptools; limits of time and number on both sides; unasked bytes close a connection

Checked, each by a loopback test that fails without its mend: a second answer or noise behind an answer stayed in the parser of a kept connection; room() let three connects pass at a limit of one; a head, a body or a silent connection was waited for without end; the id of an open request was taken twice; repeated class, tenant, time-out, key or id passed; what was sent ahead reached the module; EMFILE counted against the backend; spoilt answers counted as breaks, which exclude a backend at once although all of them bring such answers. llhttp's strictness was probed for each limit that h11 gave: it refuses double lengths, length beside chunks, signs, folds, bare line ends, NUL; it lets through endless heads, HTTP/0.9 and 2.0, a missing Host and answers without a length, which are now refused here. To blame: server._Client (no clock, came() over its limit), backends.Backends.room and _Pooled.on_event. Pipelining is turned away: the protocol has one request at a time, and it hid requests from the checks. Late answers and hangs on spoilt answers are next.

--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -15,26 +15,32 @@
 
 from .agent import Agent
 from .backends import Backends
+from .client import ClientTimes
 from .clock import Clock
 from .config import Config, ConfigError, load, load_again
 from .discovery import Discovery
+from .pool import REST_US, Pool
 from .server import DrainTimes, Server
 
 log = logging.getLogger("lilacsill")
 
 # After SIGTERM new connections come for 0.2 to 0.4 s, and SIGKILL comes 0.7 s past the longest deadline.
 IDLE_S, SERVE_S, FINISH_S = 0.1, 0.5, 0.6
-DESCRIPTORS_APART = 64  # for discovery, listener, logs and the event loop
+DESCRIPTORS_APART = 32  # for discovery, listener, logs, the event loop and what one turn accepts
+CLIENT_SHARE = 0.55  # of the rest: a third of all is for their requests, and some stay with nothing open
 
 
-def assemble(config: Config, clock: Clock) -> tuple[Agent, Server]:
+def assemble(config: Config, clock: Clock, times: ClientTimes | None = None,
+             rest_us: int = REST_US) -> tuple[Agent, Server]:
     """The parts, wired; nothing has started yet."""
-    settings, most = config.settings, max(1, (config.sockets - DESCRIPTORS_APART) // 2)
-    backends = Backends(clock, settings.report_fields, config.connect_timeout_us, config.conn_idle_us, most)
+    settings, both = config.settings, max(2, config.sockets - DESCRIPTORS_APART)
+    clients = max(1, int(CLIENT_SHARE * both))
+    pool = Pool(clock, config.connect_timeout_us, config.conn_idle_us, both - clients, rest_us)
+    backends = Backends(clock, settings.report_fields, pool)
     discovery = Discovery(config.discovery, config.parser, config.known.revision,
                           config.connect_timeout_us / 1e6)
     agent = Agent(Balancer(settings, config.seed), clock, backends, discovery)
-    return agent, Server(settings, agent, most)
+    return agent, Server(settings, agent, clients, times or ClientTimes())
 
 
 async def serve(config: Config, clock: Clock) -> int:
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -12,10 +12,10 @@
 from brasshead.logic import Balancer
 
 from .backends import Ask, Backends, Exchange, Result
+from .checks import Call
 from .clock import Clock
-from .connection import Headers
 from .discovery import Address, Discovery, Listing
-from .server import Call
+from .message import Headers
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/lilacsill/checks.py
@@ -0,0 +1,100 @@
+"""What a request must be to be taken; anything else reaches neither the module nor a backend."""
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from urllib.parse import parse_qs
+from zlib import crc32
+
+from brasshead.interface import Effect, RequestClass, Tenant
+
+from .message import Headers, Message, Unreadable
+
+TIMEOUT_LIMIT_MS = 24 * 3600 * 1000
+# Those that go on to a backend.
+FORWARDED = (b"request-id", b"idempotency-key", b"request-class", b"tenant", b"content-type")
+# Were one of these there twice, agent and backend could each go by another.
+DECISIVE = frozenset((b"host", b"request-id", b"idempotency-key", b"request-class", b"tenant",
+                      b"request-timeout-ms", b"client-retry", b"content-type"))
+_NAME = re.compile(rb"[A-Za-z0-9._:~+/=-]{1,128}")
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One request of the application, checked, and the way to answer it."""
+
+    id: bytes
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]  # those that go on to a backend
+    body: bytes
+    request_class: int
+    tenant: int
+    patience_us: int
+    key: int
+    cost_us: int
+    is_retry: bool
+    respond: Callable[[Call, int, Headers, bytes], None]
+    number: int = 0  # given by whoever takes it
+
+
+class Checker:
+    """Turns a request into a Call, or says what is wrong with it."""
+
+    def __init__(self, classes: tuple[RequestClass, ...], tenants: tuple[Tenant, ...]) -> None:
+        self._classes = {c.name.encode(): (i, c.effect) for i, c in enumerate(classes)}
+        self._tenants = {t.name.encode(): i for i, t in enumerate(tenants)}
+
+    def check(self, request: Message, respond: Callable[[Call, int, Headers, bytes], None]) -> Call:
+        fields = request.fields
+        if b"host" not in fields:
+            raise Unreadable(400, "Host is missing")
+        if not DECISIVE.isdisjoint(request.repeated):
+            raise Unreadable(400, "a header is there twice")
+        index, effect = self._class(fields)
+        if request.method != (b"GET" if effect is Effect.SAFE else b"POST"):
+            raise Unreadable(400, "method does not fit the class")
+        number = fields.get(b"request-id", b"")
+        if not _NAME.fullmatch(number):
+            raise Unreadable(400, "Request-Id is missing or malformed")
+        # Without its key no backend could tell a repeat from a new request.
+        key = fields.get(b"idempotency-key")
+        if not _NAME.fullmatch(key or b"") if effect is Effect.KEYED else key is not None:
+            raise Unreadable(400, "Idempotency-Key does not fit the class")
+        return Call(
+            number, request.method, request.target, [(k, fields[k]) for k in FORWARDED if k in fields],
+            bytes(request.body), index, self._tenant(fields), _patience_us(fields), _key(request.target),
+            _number(fields.get(b"work-hint", b"")) or 0, fields.get(b"client-retry") == b"1", respond,
+        )
+
+    def _class(self, fields: dict[bytes, bytes]) -> tuple[int, Effect]:
+        found = self._classes.get(fields.get(b"request-class", b""))
+        if found is None:
+            raise Unreadable(400, "unknown Request-Class")
+        return found
+
+    def _tenant(self, fields: dict[bytes, bytes]) -> int:
+        if not self._tenants:
+            return 0
+        index = self._tenants.get(fields.get(b"tenant", b""))
+        if index is None:
+            raise Unreadable(400, "unknown Tenant")
+        return index
+
+
+def _number(text: bytes) -> int | None:
+    return int(text) if text.isdigit() and len(text) < 10 else None
+
+
+def _patience_us(fields: dict[bytes, bytes]) -> int:
+    ms = _number(fields.get(b"request-timeout-ms", b""))
+    if not ms or ms > TIMEOUT_LIMIT_MS:
+        raise Unreadable(400, "bad Request-Timeout-Ms")
+    return ms * 1000
+
+
+def _key(target: bytes) -> int:
+    """Equal objects give equal keys; 0 is none."""
+    obj = parse_qs(target.partition(b"?")[2]).get(b"obj")
+    return (crc32(obj[0]) or 1) if obj else 0
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -8,12 +8,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-import h11
+from httptools import HttpResponseParser
 
 from brasshead.interface import Backend, State
 
 from .clock import Clock
 from .connection import Connection
+from .message import Reader, Unreadable, request
 
 log = logging.getLogger(__name__)
 
@@ -86,46 +87,43 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self._reader = Reader(HttpResponseParser, ANSWER_BYTES)
         self._answer: asyncio.Future[bytes] | None = None
-        self._status = 0
-        self._body = bytearray()
 
     async def get(self, target: str) -> bytes:
         """The body of a 200; anything else raises."""
-        self._status, self._body = 0, bytearray()
         self._answer = asyncio.get_running_loop().create_future()
-        request = h11.Request(method="GET", target=target, headers=[("Host", "discovery")])
-        self.send(request, h11.EndOfMessage())
+        self.send(request(b"GET", target.encode(), [(b"Host", b"discovery")]))
         return await self._answer
 
-    def on_event(self, event: h11.Event) -> None:
-        if isinstance(event, h11.Response):
-            self._status = event.status_code
-        elif isinstance(event, h11.Data):
-            self._body += event.data
-            if len(self._body) > ANSWER_BYTES:
-                self._end(ConnectionError("answer too long"))
-        elif isinstance(event, h11.EndOfMessage):
-            reusable = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-            if reusable:
-                self.http.start_next_cycle()
-            else:
-                self.closed = True
-            self._end(None if self._status == 200 else ConnectionError(f"status {self._status}"))
-
-    def on_broken(self, error: Exception) -> None:
-        self._end(error)
+    def on_data(self, data: bytes) -> None:
+        whole = self._reader.feed(data)
+        if not whole or self._answer is None:
+            # Bytes that no one asked for are no answer to the next call.
+            if self._reader.error is not None or self._answer is None:
+                self._broken(self._reader.error or ConnectionError("unasked bytes"))
+            return
+        answer = whole[0]
+        if not answer.keep_alive or len(whole) > 1 or self._reader.error is not None:
+            self.closed = self.deaf = True
+        self._end(None if answer.status == 200 else ConnectionError(f"status {answer.status}"), answer.body)
+
+    def on_fault(self) -> None:
+        self._broken(ConnectionError("fault while reading"))
 
     def on_end(self) -> None:
-        self.closed = True
-        self._end(ConnectionError("connection ended"))
+        self._broken(ConnectionError("connection ended"))
+
+    def _broken(self, error: Exception) -> None:
+        self.closed = self.deaf = True
+        self._end(error)
 
-    def _end(self, error: Exception | None) -> None:
+    def _end(self, error: Exception | None, body: bytes | bytearray = b"") -> None:
         answer, self._answer = self._answer, None
         if answer is None or answer.done():
             return
         if error is None:
-            answer.set_result(bytes(self._body))
+            answer.set_result(bytes(body))
         else:
             answer.set_exception(error)
 
@@ -214,5 +212,5 @@
 
 def _failed(e: Exception) -> None:
     """What discovery does wrong is one line; a fault of the agent's own shows where it is."""
-    foreseen = isinstance(e, OSError | ValueError | h11.ProtocolError)
+    foreseen = isinstance(e, OSError | ValueError | Unreadable)
     log.warning("call to discovery failed: %s", str(e) or type(e).__name__, exc_info=not foreseen)
--- /dev/null
+++ b/lilacsill/message.py
@@ -0,0 +1,158 @@
+"""HTTP/1.1 messages as they come in, read by llhttp within limits of size, and as they go out."""
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser, HttpResponseParser
+
+HEAD_LIMIT = 32 * 1024  # bytes of request or status line and headers
+INTERIM_LIMIT = 16  # answers 1xx ahead of the one that counts
+
+Headers = list[tuple[str, str]]
+REASONS = {100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout",
+           409: "Conflict", 413: "Content Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
+           503: "Service Unavailable"}
+
+
+class Unreadable(Exception):
+    """What came is no message that can be used; the status says so to a client."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class Message:
+    """A request or an answer."""
+
+    __slots__ = ("method", "target", "status", "fields", "repeated", "body", "keep_alive")
+
+    def __init__(self) -> None:
+        self.method = self.target = b""
+        self.status = 0
+        self.fields: dict[bytes, bytes] = {}  # by name in lower case; the first of each
+        self.repeated: set[bytes] = set()
+        self.body = bytearray()
+        self.keep_alive = False
+
+    def header(self, name: bytes) -> str | None:
+        value = self.fields.get(name)
+        return None if value is None else value.decode("latin-1")
+
+
+class Reader:
+    """Bytes in, whole messages out. After an error it reads no more.
+
+    llhttp judges the form: characters, lengths, Content-Length beside Transfer-Encoding. It sets no bound on
+    sizes and knows messages that end with their connection; both are seen to here.
+    """
+
+    def __init__(self, parser: type[HttpRequestParser] | type[HttpResponseParser], body_limit: int) -> None:
+        self._parser = parser(self)
+        self._body_limit = body_limit
+        self._whole: list[Message] = []
+        self.in_body = False
+        self._head_bytes = self._unfinished = 0  # of a head: its lines so far, all that came without its end
+        self._interim = 0
+        self.current: Message | None = None  # begun and not complete
+        self.error: Unreadable | None = None
+
+    def feed(self, data: bytes) -> list[Message]:
+        """The messages that these bytes complete; `error` is set where what follows them is unreadable."""
+        if self.error is not None:
+            return []
+        try:
+            self._parser.feed_data(data)
+        except HttpParserUpgrade:
+            self.error = Unreadable(400, "no other protocol is spoken here")
+            self._whole.clear()
+        except HttpParserError as e:
+            # A limit that a callback found comes wrapped in an error of the parser's.
+            self.error = self.error or Unreadable(400, f"malformed message: {e}")
+        if self.current is not None and not self.in_body:
+            self._unfinished += len(data)
+            if self._unfinished > HEAD_LIMIT:
+                self.error = self.error or Unreadable(400, "head too large")
+        whole, self._whole = self._whole, []
+        return whole
+
+    # llhttp's side
+
+    def on_message_begin(self) -> None:
+        self.current, self.in_body = Message(), False
+        self._head_bytes = self._unfinished = 0
+
+    def on_url(self, url: bytes) -> None:
+        assert self.current is not None
+        self.current.target += url
+        self._bound(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.in_body:  # a trailer
+            return
+        assert self.current is not None
+        self._bound(len(name) + len(value) + 4)
+        name = name.lower()
+        if name in self.current.fields:
+            self.current.repeated.add(name)
+        else:
+            self.current.fields[name] = value
+
+    def on_headers_complete(self) -> None:
+        message, parser = self.current, self._parser
+        assert message is not None
+        self.in_body = True
+        if parser.get_http_version() not in ("1.1", "1.0"):
+            self._stop(400, "unknown version of HTTP")
+        if isinstance(parser, HttpRequestParser):
+            message.method = parser.get_method()
+        else:
+            message.status = parser.get_status_code()
+            bodiless = message.status < 200 or message.status in (204, 304)
+            if not bodiless and message.fields.keys().isdisjoint((b"content-length", b"transfer-encoding")):
+                # It would end with the connection: one cut short could not be told from a whole one.
+                self._stop(502, "answer of unknown length")
+        if int(message.fields.get(b"content-length", 0)) > self._body_limit:
+            self._stop(413, "body too large")
+        message.keep_alive = parser.should_keep_alive()
+
+    def on_body(self, body: bytes) -> None:
+        assert self.current is not None
+        self.current.body += body
+        if len(self.current.body) > self._body_limit:
+            self._stop(413, "body too large")
+
+    def on_message_complete(self) -> None:
+        message, self.current = self.current, None
+        assert message is not None
+        if 100 <= message.status < 200:
+            self._interim += 1
+            if self._interim > INTERIM_LIMIT:
+                self._stop(502, "no answer but interim ones")
+        else:
+            self._interim = 0
+            self._whole.append(message)
+
+    def _bound(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > HEAD_LIMIT:
+            self._stop(400, "head too large")
+
+    def _stop(self, status: int, why: str) -> None:
+        self.error = Unreadable(status, why)
+        raise self.error
+
+
+def request(method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes = b"") -> bytes:
+    """A request in one piece."""
+    lines = [b"%s %s HTTP/1.1" % (method, target), *(b"%s: %s" % h for h in headers)]
+    if body or method != b"GET":
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def answer(status: int, headers: Headers, body: bytes, bodiless: bool = False) -> bytes:
+    """An answer in one piece; to HEAD it goes without its body."""
+    fields = "".join(f"{name}: {value}\r\n" for name, value in headers)
+    head = f"HTTP/1.1 {status} {REASONS.get(status, '')}\r\n{fields}Content-Length: {len(body)}\r\n\r\n"
+    return head.encode("latin-1") + (b"" if bodiless else body)
