The module forgets a backend that is gone once nothing is out to it

Checked: a module test that lists 50 ids one after the other found all 50 kept, and _backends walked each of them with every list. To blame: Balancer._backends, which never took anything out of servers and tags.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -413,11 +413,20 @@
             for server in self.servers.values():
                 if server.id not in named:
                     server.state = State.GONE
+        self._forget()
         self.ready = [x for x in self.servers.values() if x.state is State.READY]
         self.picks_left = 0
         if self.settings.discovery is Discovery.ASK and not self.watching:
             self._watch(None)
 
+    def _forget(self) -> None:
+        """Drop who is gone: ids are ever new. One with attempts or askers out goes when they have ended."""
+        for s in [s for s in self.servers.values() if s.state is State.GONE and not s.open and not s.askers]:
+            del self.servers[s.id]
+            tag = crc32(_name(s.id).encode())
+            if self.tags.get(tag) is s:
+                del self.tags[tag]
+
     def _watch(self, _: None) -> None:
         if not self.watching:
             self.watching = True
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -307,3 +307,19 @@
         d.event(PeerMessage(1, NOTE.pack(next(iter(d.balancer.tags)), 6, 0)))
         actions = d.event(RequestArrived(900, 0, 4 * SECOND, is_retry=retry))
         assert bool(only(actions, Send)) is not retry
+
+
+def test_servers_that_are_gone_are_forgotten_once_nothing_is_out_to_them() -> None:
+    # The long day: replaced under ever new ids, all were kept and walked through with each list.
+    d = asking(1)
+    d.request()
+    send = only(d.wait(25 * MS), Send)[0]
+    for i in range(50):
+        d.list(Backend(f"new{i}"), Backend(f"new{i - 1}", State.GONE))
+    d.list(Backend("s0", State.GONE))
+    # The last one, and the one whose attempt is out.
+    assert set(d.balancer.servers) == {"s0", "new49"} and len(d.balancer.tags) == 2
+    d.end(send, Outcome.OK)
+    d.event(ProbeEnded("s0", Outcome.TIMEOUT, 50 * MS))
+    d.list()
+    assert set(d.balancer.servers) == {"new49"} and len(d.balancer.tags) == 1
