Answers of up to 1 MiB are taken

Checked: profile (spoilt answers lead to most of the connects), then a log of what was taken for spoilt: whole, good answers of 150 to 400 KB, "body too large". Ruled out: CPU, exclusions (three in 10 s). The bound is 1 MiB, since bodies are held whole and memory may be 32 MB.

--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -10,7 +10,7 @@
 log = logging.getLogger(__name__)
 
 # One for all: what was read is handed on before the next read.
-_BUFFER = memoryview(bytearray(64 * 1024))
+_BUFFER = memoryview(bytearray(256 * 1024))
 
 
 class Connection(asyncio.BufferedProtocol):
--- a/lilacsill/pool.py
+++ b/lilacsill/pool.py
@@ -15,7 +15,7 @@
 
 IDLE_SHARE = 0.7  # of the time after which a backend closes an idle connection; then it is retired here
 REST_US = 2_000  # bytes that do not belong to an answer come right behind it; till then it is not used again
-ANSWER_BYTES = 64 * 1024
+ANSWER_BYTES = 1024 * 1024  # they come with 400 KB on busy days; the body is held whole
 
 
 class User(Protocol):
