The weight of an attempt that ended badly fades over ten typical latencies, one second at most

Checked: the log (hardly any exclusion), the reports on the sockets, and what own() adds to them: each client that leaves ends its attempt as cancelled and adds 1 to the server, fading over a fixed second. 200 leave a second, so six idle servers were believed to hold 30 each. To blame: RESIDUE_US in Server.own, made for answers of 100 ms; here they take 2.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -27,7 +27,7 @@
 GAIN, SERVICE_GAIN = 0.1, 0.3  # weight of a new sample in smoothed figures; in those the server has smoothed
 PRIOR = 4  # a learned pace counts half after this many answers
 FORGET_US = 5 * SECOND  # a pace not confirmed for this long counts half: a server shunned must be seen again
-RESIDUE_US = SECOND  # weight of an attempt that ended badly fades over this
+RESIDUE, RESIDUE_US = 10, SECOND  # weight of an attempt that ended badly fades over so many latencies at most
 SILENT = 5  # no answer for this many typical latencies, with attempts out, is silence
 OUT_FIRST_US, OUT_MAX_US = 500 * MS, 4 * SECOND  # exclusion from sampling, doubled each time
 TRIALS = 8  # readmission: at most this many attempts out at once before all limits fall
@@ -53,7 +53,7 @@
     __slots__ = ("id", "zone", "cell", "hint", "state", "started_at", "open", "residue", "residue_at",
                  "others", "heard_at", "latency", "load", "samples", "answered_at", "ended_at",
                  "failing", "streak", "out_until", "out_us", "allowance", "asked_at", "askers",
-                 "pace", "service", "news_at")
+                 "pace", "service", "news_at", "fade_us")
 
     def __init__(self, b: Backend, now: int) -> None:
         self.id = b.id
@@ -69,7 +69,7 @@
 
     def own(self, now: int) -> float:
         """Own attempts out, and what is left of the weight of those that ended badly."""
-        faded = self.residue and self.residue * RESIDUE_US / (RESIDUE_US + now - self.residue_at)
+        faded = self.residue and self.residue * self.fade_us / (self.fade_us + now - self.residue_at)
         return len(self.open) + faded
 
     def reset(self, now: int) -> None:
@@ -79,6 +79,7 @@
         self.residue = self.others = self.service = self.latency = self.load = self.failing = 0.0
         self.residue_at = self.heard_at = self.answered_at = self.ended_at = self.samples = self.streak = 0
         self.out_until = self.out_us = self.allowance = 0  # allowance 0: no limit
+        self.fade_us = RESIDUE_US
 
 
 class Request:
@@ -220,6 +221,7 @@
         else:
             # Balls stay: a server that ends attempts at once must not look light for it.
             s.residue, s.residue_at = s.own(now) - len(s.open) + 1.0, now
+            s.fade_us = min(RESIDUE_US, int(RESIDUE * self.typical) or RESIDUE_US)
 
 
 class Health:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,8 +7,8 @@
 
 from brasshead.logic import NOTE, RETRY_BURST, RETRY_SHARE, Request, Server
 from brasshead.interface import (
-    Backend, Outcome, Prices, Probe, ProbeEnded, Refuse, RequestArrived, RequestClass, Send, State,
-    PeerMessage, Tell,
+    Backend, ClientGone, Outcome, PeerMessage, Prices, Probe, ProbeEnded, Refuse, RequestArrived, RequestClass,
+    Send, State, Tell,
 )
 
 
@@ -323,3 +323,19 @@
     d.event(ProbeEnded("s0", Outcome.TIMEOUT, 50 * MS))
     d.list()
     assert set(d.balancer.servers) == {"new49"} and len(d.balancer.tags) == 1
+
+
+def test_attempts_that_clients_leave_do_not_pile_up_as_load() -> None:
+    # rate: clients left 200 times a second, each left a weight that faded over a second, and idle servers
+    # were taken for full.
+    d = Drive(servers=2, siblings=2)
+    d.serve(40, 2 * MS)
+    sent = 0
+    for _ in range(300):
+        number, actions = d.request()
+        for send in only(actions, Send):
+            sent += 1
+            d.event(ClientGone(number))
+            d.end(send, Outcome.CANCELLED, 2 * MS)
+        d.wait(5 * MS)
+    assert sent == 300 and all(s.own(d.now) < 5.0 for s in d.balancer.servers.values())
