--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,8 +7,8 @@
 
 from brasshead.logic import NOTE, RETRY_BURST, RETRY_SHARE, Request, Server
 from brasshead.interface import (
-    Backend, ClientGone, Outcome, PeerMessage, Prices, Probe, ProbeEnded, Refuse, RequestArrived, RequestClass,
-    Send, State, Tell,
+    Backend, ClientGone, Outcome, PeerMessage, Prices, Probe, ProbeEnded, Refuse, RequestArrived,
+    RequestClass, Send, State, Tell,
 )
 
 
