A request that finds all servers busy waits a little for a place

To blame: Balancer._advance, which turned away at once what a server could take a few ms later. A request that waits has not been given up; one that has is answered at once, as before.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -44,6 +44,9 @@
 NOTE = Struct(">IHH")  # what peers are told: a backend's tag, what it holds, its service time in ms
 ASK_PAIRS = 4  # pairs asked for one request before it is given up as hopeless
 HOLD_US = 20 * MS  # a held request is looked at this often
+WAITING = 2.0  # requests that all balancers together may hold for each server while all are busy
+SOON = 0.15  # such a one is looked at this often, as a share of the typical latency
+IN_TIME = 1.5  # and held while so many typical latencies are left to its aim
 WATCH_FIRST_US, WATCH_MAX_US = 200 * MS, 2 * SECOND  # wait after a failed list call, doubled each time
 
 
@@ -86,7 +89,7 @@
     """A request this balancer has taken, until its answer is given and its attempts have ended."""
 
     __slots__ = ("id", "cls", "deadline", "aim_at", "gives_way", "sends", "out", "may_have_run",
-                 "tried", "done", "luck", "size", "pair", "silent", "pairs")
+                 "tried", "done", "luck", "size", "pair", "silent", "pairs", "pairs_most")
 
     def __init__(self, e: RequestArrived, cls: RequestClass, now: int, luck: float, size: float) -> None:
         self.id, self.cls, self.deadline = e.request, cls, now + e.patience_us
@@ -100,7 +103,7 @@
         self.tried: list[Server] = []
         self.pair: tuple[Server, Server] | None = None  # samples that have been asked for their load
         self.silent: list[Server] = []  # those of them that have not answered yet
-        self.pairs = 0
+        self.pairs, self.pairs_most = 0, ASK_PAIRS
 
     def may_refuse(self) -> bool:
         """A refusal says that trying again is harmless."""
@@ -365,6 +368,7 @@
         self.tags: dict[int, Server] = {}
         self.picks_left = 0  # picks that the cutoffs still serve
         self.requests: dict[int, Request] = {}
+        self.waiting: set[int] = set()  # requests held because all servers are busy
         self.budget = RETRY_BURST
         self.due: list[tuple[int, int, Callable[[Any], None], Any]] = []
         self.due_count = 0
@@ -450,19 +454,32 @@
     def _advance(self, r: Request) -> None:
         """Send the request where it may go; hold, refuse or fail it where it may not."""
         now = self.now
+        self.waiting.discard(r.id)
         left = self._left(r)
         if left <= 0 or r.sends >= self.settings.max_attempts:
             return self._finish(r)
         pool = self._pool(r)
         pair = self._two(r, pool) if pool else None
         if pair is None:
-            # Held while nobody may be sent to; where all that may be are hopeless, refused at once.
-            hopeless = any(self._admits(r, s) for s in pool[:DRAWS])
-            if r.sends == 0 and now < r.aim_at - self.margin and not hopeless:
+            # Held while nobody may be sent to, and a little while all are busy; else refused at once.
+            busy = any(self._admits(r, s) for s in pool[:DRAWS])
+            if r.sends == 0 and now < r.aim_at - self.margin and not busy:
                 return self._later(min(now + HOLD_US, r.aim_at - self.margin), self._held, r)
-            return self._finish(r)
+            return self._wait(r) if busy and self._can_wait(r) else self._finish(r)
         self._ask(r, pair)
 
+    def _can_wait(self, r: Request) -> bool:
+        """Whether a place that frees up soon still serves it: one turned away comes back after its aim."""
+        most = max(1.0, WAITING * len(self.ready) / self.settings.siblings)
+        typical = self.table.typical
+        return (typical > 0 and self.now + IN_TIME * typical < r.aim_at and len(self.waiting) < most
+                and not r.gives_way and r.size <= 1.0)
+
+    def _wait(self, r: Request) -> None:
+        r.pairs_most = r.pairs + ASK_PAIRS
+        self.waiting.add(r.id)
+        self._later(self.now + int(SOON * self.table.typical), self._held, r)
+
     def _left(self, r: Request) -> int:
         """Time in which an answer is still worth something, and can be given."""
         return (r.deadline if r.cls.late_worth else r.aim_at) - self.now - self.margin
@@ -539,8 +556,10 @@
         fit = [s for s in pair if self._may_go(r, s) and s not in silent and self._hopeful(r, s, limit, left)]
         if fit and self._left(r) > 0:
             return self._send(r, *self._lighter(r, (fit[0], fit[-1])))
-        if r.pairs < ASK_PAIRS:
+        if r.pairs < r.pairs_most:
             return self._advance(r)
+        if self._can_wait(r):
+            return self._wait(r)
         self._finish(r)
 
 
@@ -732,6 +751,7 @@
         self._drop(r)
 
     def _drop(self, r: Request) -> None:
+        self.waiting.discard(r.id)
         self._cancel(r)
         if not r.out:
             self.requests.pop(r.id, None)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -339,3 +339,28 @@
             d.end(send, Outcome.CANCELLED, 2 * MS)
         d.wait(5 * MS)
     assert sent == 300 and all(s.own(d.now) < 5.0 for s in d.balancer.servers.values())
+
+
+def test_a_request_that_finds_all_busy_waits_a_little_for_a_place() -> None:
+    # wide: all servers held two, the request was turned away, and its client came back after the aim.
+    d = Drive(servers=2, siblings=14)
+    d.serve(40, 90 * MS)  # one held: 90 ms; the aim is 500 ms
+    taken = [s for _ in range(4) for s in only(d.request()[1], Send)]
+    assert len(taken) == 4
+    number, actions = d.request()
+    assert not only(actions, Send) and not only(actions, Refuse)
+    assert only(d.request()[1], Refuse)  # one is held already: more of them would all come late
+    d.end(taken[0], Outcome.OK, 90 * MS)
+    assert [s.request for s in only(d.wait(60 * MS), Send)] == [number]
+    assert not d.balancer.waiting
+
+
+def test_one_that_waits_is_turned_away_while_its_client_can_still_use_that() -> None:
+    d = Drive(servers=1, siblings=14)
+    d.serve(40, 90 * MS)
+    for _ in range(3):
+        _, actions = d.request()
+    began = d.now
+    while not only(actions, Refuse):
+        actions = d.wait(MS)
+    assert d.now - began < 400 * MS and not d.balancer.waiting
