--- /dev/null
+++ b/brasshead/logic/__init__.py
@@ -0,0 +1,12 @@
+"""Every decision of brasshead. The types, events and actions used here are defined in brasshead/interface.py.
+
+A request meets the rooms in this order: membership (who is there), admission (is it worth a try), health and
+cold budget (who may be sampled), load table and bands (the Quantile process of Los and Sauerwald: two uniform
+samples, compared by band), attempt plan (time-out, retry, hedge). `core` holds what they share, `balancer`
+wires them. docs/design.md tells why.
+"""
+from .balancer import Balancer
+
+__all__ = ["Balancer"]
+
+
--- /dev/null
+++ b/brasshead/logic/admission.py
@@ -0,0 +1,93 @@
+"""Admission: whether a request is worth a try now, is held, or is given up."""
+from __future__ import annotations
+
+from ..interface import RequestArrived
+from .asking import Asking
+from .attempts import RETRY_BURST, RETRY_SHARE, Attempts
+from .core import Core
+from .entities import ASK_PAIRS, Request
+from .sampling import DRAWS, Sampler
+from .shares import TenantShares
+
+MS = 1_000
+HOLD_US = 20 * MS  # a held request is looked at this often
+WAITING = 2.0  # requests that all balancers together may hold for each server while all are busy
+SOON = 0.15  # such a one is looked at this often, as a share of the typical latency
+IN_TIME = 1.5  # and held while so many typical latencies are left to its aim
+
+
+class Admission:
+    """Takes requests in, and looks at those again that have no attempt out."""
+
+    def __init__(self, core: Core, sampler: Sampler, asking: Asking, attempts: Attempts,
+                 shares: TenantShares) -> None:
+        self.core, self.sampler, self.asking = core, sampler, asking
+        self.attempts, self.shares = attempts, shares
+        self.table = sampler.table
+        attempts.advance = self.advance
+        asking.settle, asking.left = self._settle, self._left
+
+    def arrived(self, e: RequestArrived) -> None:
+        now = self.core.now
+        self.core.settings.check(e, e.request in self.attempts.requests)
+        size = self.table.size_of(e.cost_us)
+        r = Request(e, self.core.settings.classes[e.request_class], now, self.core.rng.random(), size)
+        self.attempts.requests[e.request] = r
+        self.attempts.budget = min(RETRY_BURST, self.attempts.budget + RETRY_SHARE)
+        # A retry has lost part of its time to the aim unseen: served before first tries it came late.
+        r.gives_way = self.shares.over(e.tenant, now) or e.is_retry
+        self.advance(r)
+
+    def advance(self, r: Request) -> None:
+        """Send the request where it may go; hold, refuse or fail it where it may not."""
+        now = self.core.now
+        self.attempts.waiting.discard(r.id)
+        left = self._left(r)
+        if left <= 0 or r.sends >= self.core.settings.max_attempts:
+            return self.attempts.finish(r)
+        pool = self.sampler.pool(r)
+        pair = self.sampler.two(r, pool) if pool else None
+        if pair is None:
+            # Held while nobody may be sent to, and a little while all are busy; else refused at once.
+            busy = any(self.sampler.admits(r, s) for s in pool[:DRAWS])
+            if r.sends == 0 and now < r.aim_at - self.core.margin and not busy:
+                return self.core.later(min(now + HOLD_US, r.aim_at - self.core.margin), self._held, r)
+            return self._wait(r) if busy and self._can_wait(r) else self.attempts.finish(r)
+        self.asking.ask(r, pair)
+
+    def _settle(self, r: Request) -> None:
+        """Send to the lighter of the two samples, or draw again if neither can be hoped to answer in time."""
+        assert r.pair is not None
+        pair, limit, left = r.pair, self.sampler.limit(r), r.aim_at - self.core.now
+        # A sample that answers goes before one that does not; if none does, the table decides.
+        silent = r.silent if len(r.silent) < len(set(pair)) else []
+        r.pair, r.silent = None, []
+        fit = [s for s in pair if self.sampler.may_go(r, s) and s not in silent
+               and self.sampler.hopeful(r, s, limit, left)]
+        if fit and self._left(r) > 0:
+            return self.attempts.send(r, *self.sampler.lighter(r, (fit[0], fit[-1])))
+        if r.pairs < r.pairs_most:
+            return self.advance(r)
+        if self._can_wait(r):
+            return self._wait(r)
+        self.attempts.finish(r)
+
+    def _can_wait(self, r: Request) -> bool:
+        """Whether a place that frees up soon still serves it: one turned away comes back after its aim."""
+        most = max(1.0, WAITING * len(self.sampler.members.ready) / self.core.settings.siblings)
+        typical = self.table.typical
+        return (typical > 0 and self.core.now + IN_TIME * typical < r.aim_at
+                and len(self.attempts.waiting) < most and not r.gives_way and r.size <= 1.0)
+
+    def _wait(self, r: Request) -> None:
+        r.pairs_most = r.pairs + ASK_PAIRS
+        self.attempts.waiting.add(r.id)
+        self.core.later(self.core.now + int(SOON * self.table.typical), self._held, r)
+
+    def _left(self, r: Request) -> int:
+        """Time in which an answer is still worth something, and can be given."""
+        return (r.deadline if r.cls.late_worth else r.aim_at) - self.core.now - self.core.margin
+
+    def _held(self, r: Request) -> None:
+        if not r.done and not r.out and r.pair is None:
+            self.advance(r)
--- /dev/null
+++ b/brasshead/logic/asking.py
@@ -0,0 +1,57 @@
+"""Asking: both samples of a request tell their load before they are compared, where that is cheap."""
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..interface import Outcome, Probe, ProbeEnded
+from .core import Core
+from .entities import Request, Server
+from .membership import Membership
+from .sampling import Sampler
+
+
+class Asking:
+    """Probes out, and the requests that wait for their echoes."""
+
+    def __init__(self, core: Core, members: Membership, sampler: Sampler) -> None:
+        self.core, self.members, self.sampler, self.table = core, members, sampler, sampler.table
+        self.settle: Callable[[Request], None]  # what to do once the pair is known; admission sets it
+        self.left: Callable[[Request], int]
+
+    def ask(self, r: Request, pair: tuple[Server, Server]) -> None:
+        """Bring the entries of both samples up to date where that is cheap, then compare them."""
+        # A balancer with a request a second hears from each of fifty servers once in a minute: its table made
+        # two samples no better than one.
+        now, bound = self.core.now, self.sampler.ask_us
+        r.pair = pair
+        r.silent = [s for s in dict.fromkeys(pair) if now - s.heard_at > bound] if self.sampler.asks else []
+        if not r.silent:
+            return self.settle(r)
+        for s in r.silent:
+            if not s.asked_at or now - s.asked_at > bound:
+                s.asked_at = now
+                self.core.actions.append(Probe(s.id))
+            s.askers.append(r)
+        r.pairs += 1
+        self.core.later(now + min(bound, self.left(r)), self._unanswered, (r, r.pairs))
+
+    def _unanswered(self, what: tuple[Request, int]) -> None:
+        r, pairs = what
+        if r.pair is not None and r.pairs == pairs and not r.done:
+            self.settle(r)
+
+    def probed(self, e: ProbeEnded) -> None:
+        """An echo tells the load only: that a process answers beside its queue is no proof that it works."""
+        s = self.members.servers.get(e.backend)
+        if s is None:
+            return
+        s.asked_at, askers, s.askers = 0, s.askers, []
+        heard = e.outcome is Outcome.OK and 0 <= self.table.column < len(e.report)
+        if heard:
+            self.table.holds(self.core.now, s, e.report[self.table.column])
+        for r in askers:
+            if r.pair is not None and not r.done and s in r.silent:
+                if heard:
+                    r.silent.remove(s)
+                if not r.silent or not heard:
+                    self.settle(r)
--- /dev/null
+++ b/brasshead/logic/attempts.py
@@ -0,0 +1,118 @@
+"""The attempt plan: sends, second copies, how attempts end, and the one final answer."""
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..interface import (
+    NEVER_RAN, AttemptEnded, Cancel, ClientGone, Effect, Fail, Outcome, Refuse, Send, StreamStarted,
+)
+from .core import Core
+from .entities import Request, Server
+from .peers import Peers
+from .sampling import Sampler
+from .shares import TenantShares
+
+RETRY_SHARE, RETRY_BURST = 0.15, 10.0  # repeats that may load the servers, as a share of first tries
+
+
+class Attempts:
+    """The requests in hand, by id."""
+
+    def __init__(self, core: Core, sampler: Sampler, peers: Peers, shares: TenantShares) -> None:
+        self.core, self.sampler, self.peers, self.shares = core, sampler, peers, shares
+        self.table, self.health, self.cold = sampler.table, sampler.health, sampler.cold
+        self.requests: dict[int, Request] = {}
+        self.waiting: set[int] = set()  # requests held because all servers are busy
+        self.budget = RETRY_BURST
+        self.advance: Callable[[Request], None]  # what becomes of one whose attempt failed; admission sets it
+
+    def send(self, r: Request, s: Server, load: float) -> None:
+        now, attempt = self.core.now, r.sends
+        r.sends += 1
+        r.out[attempt] = (s, now, load)
+        r.may_have_run.append((attempt, s, now))
+        r.tried.append(s)
+        s.open[(r.id, attempt)] = now
+        self.core.actions.append(Send(r.id, s.id, max(1, r.deadline - now - self.core.margin)))
+        if r.cls.effect is not Effect.UNSAFE and self.table.typical and self.core.settings.second_copies:
+            at = now + int(3 * self.table.typical)
+            if at + self.table.typical < r.aim_at:
+                self.core.later(at, self._overdue, (r, attempt))
+
+    def _overdue(self, what: tuple[Request, int]) -> None:
+        """An attempt takes unusually long: try elsewhere while the aim can still be made."""
+        r, attempt = what
+        if r.done or attempt not in r.out or len(r.out) > 1 or self.budget < 1.0:
+            return
+        pool = self.sampler.pool(r)
+        pair = self.sampler.two(r, pool) if pool and r.sends < self.core.settings.max_attempts else None
+        if pair is None:
+            return
+        server, load = self.sampler.lighter(r, pair)
+        if server is not r.out[attempt][0]:
+            self.budget -= 1.0
+            self.send(r, server, load)
+
+    def ended(self, e: AttemptEnded) -> None:
+        now, r = self.core.now, self.requests.get(e.request)
+        if r is None or e.attempt not in r.out:
+            return
+        s, sent, load = r.out.pop(e.attempt)
+        s.open.pop((r.id, e.attempt), None)
+        self.table.ended(now, s, e, load)
+        if self.peers.tells and e.outcome is Outcome.OK and len(e.report) > self.table.column:
+            self.peers.tell(s, e.report[self.table.column] - 1)
+        # A time-out tells against a server only if it has answered nothing since: else it is late, not ill.
+        if e.outcome is not Outcome.TIMEOUT or s.answered_at <= sent:
+            self.health.ended(s, now, e.outcome)
+        self.shares.learn(len(s.open) + 1, max(0.0, s.others))
+        if e.outcome in NEVER_RAN:
+            r.may_have_run = [m for m in r.may_have_run if m[0] != e.attempt]
+        if e.finished and not r.done:
+            r.done = True
+            self.cold.ended(served=True)
+            self._cancel(r)
+        if r.done:
+            if not r.out:
+                del self.requests[r.id]
+        elif not r.out:
+            # Full servers turn attempts away in no time: unpaid repeats of those made twenty attempts of each
+            # request. A failed connect loads no server and waits out its own time-out.
+            if e.outcome is not Outcome.CONNECT_FAILED:
+                if self.budget < 1.0:
+                    return self.finish(r)
+                self.budget -= 1.0
+            self.advance(r)
+
+    def streaming(self, e: StreamStarted) -> None:
+        r = self.requests.get(e.request)
+        if r is not None and e.attempt in r.out:
+            r.done = True
+            self._cancel(r, but=e.attempt)
+
+    def gone(self, e: ClientGone) -> None:
+        r = self.requests.get(e.request)
+        if r is not None and not r.done:
+            r.done = True
+            self._drop(r)
+
+    def finish(self, r: Request) -> None:
+        """Give the one final answer."""
+        r.done = True
+        self.cold.ended(served=False)
+        if r.may_refuse():
+            advice = int(2 * self.table.typical) if self.core.settings.retry_after else 0
+            self.core.actions.append(Refuse(r.id, min(advice, self.core.settings.max_retry_after_us)))
+        else:
+            self.core.actions.append(Fail(r.id))
+        self._drop(r)
+
+    def _drop(self, r: Request) -> None:
+        self.waiting.discard(r.id)
+        self._cancel(r)
+        if not r.out:
+            self.requests.pop(r.id, None)
+
+    def _cancel(self, r: Request, but: int = -1) -> None:
+        if self.core.settings.can_cancel:
+            self.core.actions.extend(Cancel(r.id, a) for a in r.out if a != but)
--- /dev/null
+++ b/brasshead/logic/balancer.py
@@ -0,0 +1,57 @@
+"""One balancer: the rooms, wired, and the one way in."""
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from ..interface import (
+    Action, AttemptEnded, BackendsChanged, ClientGone, Event, PeerMessage, ProbeEnded, RequestArrived,
+    Settings, StreamStarted, TimerFired,
+)
+from .admission import Admission
+from .asking import Asking
+from .attempts import Attempts
+from .cold import ColdBudget
+from .core import Core
+from .health import Health
+from .load_table import LoadTable
+from .membership import Membership
+from .peers import Peers, peers_told
+from .sampling import Sampler
+from .shares import TenantShares
+
+
+class Balancer:
+    """Hand every event to handle() in order; carry out the actions it returns in order."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.core = core = Core(settings, seed)
+        self.table = LoadTable(settings)
+        self.members = Membership(core)
+        tells = peers_told(settings, self.table.column)
+        health = Health(core.rng, core.log)
+        self.sampler = Sampler(core, self.members, self.table, health, ColdBudget(settings), tells)
+        peers = Peers(core, self.members, self.table, tells)
+        shares = TenantShares(settings)
+        self.attempts = Attempts(core, self.sampler, peers, shares)
+        asking = Asking(core, self.members, self.sampler)
+        admission = Admission(core, self.sampler, asking, self.attempts, shares)
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            BackendsChanged: self._listed, RequestArrived: admission.arrived,
+            AttemptEnded: self.attempts.ended, StreamStarted: self.attempts.streaming,
+            ClientGone: self.attempts.gone, TimerFired: core.timer, ProbeEnded: asking.probed,
+            PeerMessage: peers.told,
+        }
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        """Take one event at time now; return what to do about it."""
+        handler = self._handlers.get(type(event))
+        if handler is None:
+            raise TypeError(f"{type(event).__name__} is no event of the interface")
+        self.core.begin(now)
+        handler(event)
+        return self.core.actions
+
+    def _listed(self, e: BackendsChanged) -> None:
+        if self.members.changed(e):
+            self.sampler.picks_left = 0  # the cutoffs are of another list
--- /dev/null
+++ b/brasshead/logic/entities.py
@@ -0,0 +1,74 @@
+"""What is known of one backend, and of one request in hand."""
+from __future__ import annotations
+
+from ..interface import Backend, BackendId, Effect, Group, RequestArrived, RequestClass
+
+SECOND = 1_000_000
+RESIDUE_US = SECOND  # the weight of an attempt that ended badly halves in so long at most
+ASK_PAIRS = 4  # pairs asked for one request before it is given up as hopeless
+
+
+class Server:
+    """What this balancer knows of one backend."""
+
+    __slots__ = ("id", "zone", "cell", "hint", "state", "started_at", "open", "residue", "residue_at",
+                 "others", "heard_at", "latency", "load", "samples", "answered_at", "ended_at",
+                 "failing", "streak", "out_until", "out_us", "allowance", "asked_at", "askers",
+                 "pace", "service", "news_at", "fade_us")
+
+    def __init__(self, b: Backend, now: int) -> None:
+        self.id = b.id
+        self.open: dict[tuple[int, int], int] = {}  # own attempts out, oldest first: when each was sent
+        self.asked_at = 0  # when the probe now out was sent; 0: none is
+        self.askers: list[Request] = []  # requests that wait for its echo
+        self.adopt(b)
+        self.reset(now)
+
+    def adopt(self, b: Backend) -> None:
+        self.zone, self.cell, self.state = b.zone, b.cell, b.state
+        self.hint, self.started_at = max(b.capacity_hint, 1e-6), b.started_at
+
+    def own(self, now: int) -> float:
+        """Own attempts out, and what is left of the weight of those that ended badly."""
+        faded = self.residue and self.residue * self.fade_us / (self.fade_us + now - self.residue_at)
+        return len(self.open) + faded
+
+    def reset(self, now: int) -> None:
+        """Forget what was learned of an earlier process."""
+        self.news_at = now  # when it was last heard of in any way
+        self.pace = 1.0  # as of the last look at the table
+        self.residue = self.others = self.service = self.latency = self.load = self.failing = 0.0
+        self.residue_at = self.heard_at = self.answered_at = self.ended_at = self.samples = self.streak = 0
+        self.out_until = self.out_us = self.allowance = 0  # allowance 0: no limit
+        self.fade_us = RESIDUE_US
+
+
+class Request:
+    """A request this balancer has taken, until its answer is given and its attempts have ended."""
+
+    __slots__ = ("id", "cls", "deadline", "aim_at", "gives_way", "sends", "out", "may_have_run",
+                 "tried", "done", "luck", "size", "pair", "silent", "pairs", "pairs_most")
+
+    def __init__(self, e: RequestArrived, cls: RequestClass, now: int, luck: float, size: float) -> None:
+        self.id, self.cls, self.deadline = e.request, cls, now + e.patience_us
+        self.aim_at = min(now + cls.aim_us + int(cls.aim_stretch * e.cost_us), self.deadline)
+        self.gives_way = self.done = False
+        self.luck = luck  # one for its whole life: a held request must not draw until a cold server takes it
+        self.size = size  # its work as a multiple of the mean, where a hint tells it
+        self.sends = 0
+        self.out: dict[int, tuple[Server, int, float]] = {}  # attempt: server, sent at, table load then
+        self.may_have_run: list[tuple[int, Server, int]] = []  # attempts not proven never to have run
+        self.tried: list[Server] = []
+        self.pair: tuple[Server, Server] | None = None  # samples that have been asked for their load
+        self.silent: list[Server] = []  # those of them that have not answered yet
+        self.pairs, self.pairs_most = 0, ASK_PAIRS
+
+    def may_refuse(self) -> bool:
+        """A refusal says that trying again is harmless."""
+        c = self.cls
+        return not self.may_have_run or c.effect is Effect.SAFE or (
+            c.effect is Effect.KEYED and c.group is Group.ALL)
+
+
+def name_of(backend: BackendId) -> str:
+    return backend.hex() if isinstance(backend, bytes) else str(backend)
--- /dev/null
+++ b/brasshead/logic/health.py
@@ -0,0 +1,62 @@
+"""Health: which servers are left out of sampling, on strong evidence only, and how they come back."""
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from ..interface import Outcome
+from .entities import SECOND, Server, name_of
+from .load_table import GAIN
+
+MS = 1_000
+SILENT = 5  # no answer for this many typical latencies, with attempts out, is silence
+OUT_FIRST_US, OUT_MAX_US = 500 * MS, 4 * SECOND  # exclusion from sampling, doubled each time
+TRIALS = 8  # readmission: at most this many attempts out at once before all limits fall
+
+
+class Health:
+    """Which servers are left out of sampling, on strong evidence only, and how they come back."""
+
+    def __init__(self, rng: Random, log: Callable[[str], None]) -> None:
+        self.rng, self.log = rng, log
+        self.shared = False
+
+    def look(self, servers: list[Server], now: int, typical: float) -> None:
+        """When most look ill the cause is shared, and the rest would drown: then none is left out."""
+        self.shared = 2 * sum(self.ill(s, now, typical) for s in servers) > len(servers)
+
+    def admits(self, s: Server, now: int, typical: float) -> bool:
+        return self.shared or not self.ill(s, now, typical)
+
+    def ill(self, s: Server, now: int, typical: float) -> bool:
+        if s.out_until > now or (s.allowance and len(s.open) >= s.allowance):
+            return True
+        if len(s.open) < 2 or not typical:
+            return False
+        # Silent: takes work and answers nothing.
+        return now - max(next(iter(s.open.values())), s.answered_at) > SILENT * typical
+
+    def ended(self, s: Server, now: int, outcome: Outcome) -> None:
+        if outcome is Outcome.OK:
+            s.failing -= GAIN * s.failing
+            s.streak = 0
+            if s.allowance and s.out_until <= now:
+                s.allowance += 1
+                if s.allowance > TRIALS:
+                    s.allowance = s.out_us = 0
+                    self.log(f"server {name_of(s.id)} healthy: readmitted in full")
+        elif outcome is not Outcome.NOT_SENT and outcome is not Outcome.CANCELLED:
+            s.failing += GAIN * (1.0 - s.failing)
+            s.streak += 1
+            at_once = outcome is Outcome.RESET or outcome is Outcome.CONNECT_FAILED or s.allowance > 0
+            if at_once or s.streak >= 3 or (s.streak >= 2 and s.failing > 0.3):
+                self.exclude(s, now, outcome.value)
+
+    def exclude(self, s: Server, now: int, why: str) -> None:
+        if s.out_until > now:
+            return
+        if not s.out_us:
+            self.log(f"server {name_of(s.id)} excluded: {why}")
+        s.out_us = min(2 * s.out_us or OUT_FIRST_US, OUT_MAX_US)
+        s.out_until = now + int(s.out_us * (0.75 + 0.5 * self.rng.random()))
+        s.allowance = 1
--- /dev/null
+++ b/brasshead/logic/load_table.py
@@ -0,0 +1,105 @@
+"""The load table: what each server holds, and how fast it works that off."""
+from __future__ import annotations
+
+from ..interface import AttemptEnded, Outcome, Settings
+from .entities import RESIDUE_US, SECOND, Server
+
+FRESH_US = SECOND  # a report this young counts in full; older ones fade to the mean as FRESH_US / age
+GAIN, SERVICE_GAIN = 0.1, 0.3  # weight of a new sample in smoothed figures; in those the server has smoothed
+PRIOR = 4  # a learned pace counts half after this many answers
+FORGET_US = 5 * SECOND  # a pace not confirmed for this long counts half: a server shunned must be seen again
+RESIDUE = 10  # weight of an attempt that ended badly fades over so many latencies at most
+
+
+class LoadTable:
+    """What each server holds, by its reports and this balancer's own count, and how fast it works it off."""
+
+    def __init__(self, settings: Settings) -> None:
+        fields = settings.report_fields
+        self.column = next((fields.index(f) for f in ("inflight", "queue") if f in fields), -1)
+        self.service_column = fields.index("latency_ms") if "latency_ms" in fields else -1
+        self.hinted = settings.capacity_hints
+        self.cuts: list[float] = []
+        self.mean, self.mean_hint = 0.0, 1.0  # of the table: loads heard of, capacity hints
+        self.mean_service = 0.0  # and reported service times
+        self.news_at = 0  # when the median server was last heard of
+        self.cost = 0.0  # mean cost of a request by its hints
+        self.pace = 0.0  # fleet: time per unit of load
+        self.typical = 0.0  # fleet: latency of answers
+
+    def look(self, servers: list[Server], now: int) -> None:
+        """What the entries come to in the mean."""
+        heard = [s.own(now) + max(0.0, s.others) for s in servers if s.heard_at]
+        self.mean = sum(heard) / len(heard) if heard else 0.0
+        self.news_at = sorted(s.news_at for s in servers)[len(servers) // 2] if servers else 0
+        known = [s.service for s in servers if s.service]
+        self.mean_service = sum(known) / len(known) if known else 0.0
+        if self.hinted and servers:
+            self.mean_hint = sum(s.hint for s in servers) / len(servers)
+
+    def others(self, s: Server, now: int) -> float:
+        """What all others hold at a server: as reported, an old report fading to the mean of the table.
+
+        A server not heard from enters at that mean.
+        """
+        if not s.heard_at:
+            return self.mean
+        age = max(FRESH_US, now - s.heard_at)
+        return self.mean + (max(0.0, s.others) - self.mean) * FRESH_US / age
+
+    def size_of(self, cost_us: int) -> float:
+        """The work of a request as a multiple of the mean request's; 1 where nothing tells it."""
+        if not cost_us:
+            return 1.0
+        self.cost += (GAIN / 4 if self.cost else 1.0) * (cost_us - self.cost)
+        return cost_us / self.cost
+
+    def holds(self, now: int, s: Server, held: float) -> None:
+        """Take in what a probe or a peer tells: it stands for itself and is not smoothed."""
+        s.others, s.heard_at, s.news_at = held - len(s.open), now, now
+
+    def works(self, s: Server, service_ms: float) -> None:
+        """Learn from a reported service time, waiting left out, how fast a server works."""
+        if service_ms > 0:
+            s.service += (SERVICE_GAIN if s.service else 1.0) * (service_ms - s.service)
+
+    def pace_of(self, s: Server, now: int, warmth: float) -> float:
+        """Time a server takes per unit of load: the inverse of its relative capacity."""
+        pace = (self.pace or 1.0) / warmth
+        if self.hinted:
+            pace *= self.mean_hint / s.hint
+        if s.service:
+            pace *= s.service / self.mean_service
+        if s.samples:
+            w = s.samples / (s.samples + PRIOR) * FORGET_US / (FORGET_US + now - s.ended_at)
+            pace += w * (s.latency / s.load - pace)
+        return pace
+
+    def ended(self, now: int, s: Server, e: AttemptEnded, load_at_send: float) -> None:
+        """Learn from an attempt that has just been taken off s.open."""
+        s.ended_at = now
+        if self.column >= 0 and len(e.report) > self.column:
+            # The report holds our own attempts too: what remains after them is the others' share.
+            others = e.report[self.column] - len(s.open) - 1
+            gain = 1.0 if not s.heard_at else max(GAIN, min(1.0, (now - s.heard_at) / FRESH_US))
+            s.others += gain * (others - s.others)
+            s.heard_at = s.news_at = now
+            # The load at sending may be an old guess: a jam that grew unseen made every server look slow, and
+            # all was refused that could be served (bajio, crash).
+            load_at_send = max(load_at_send, e.report[self.column])
+        if 0 <= self.service_column < len(e.report):
+            self.works(s, e.report[self.service_column])
+        if e.outcome is Outcome.OK or (e.outcome is Outcome.TIMEOUT and e.latency_us > self.typical):
+            gain = max(GAIN, 1 / (s.samples + 1))
+            s.latency += gain * (e.latency_us - s.latency)
+            s.load += gain * (load_at_send - s.load)
+            s.samples += 1
+        if e.outcome is Outcome.OK:
+            s.answered_at = now
+            gain = GAIN / 4 if self.pace else 1.0
+            self.typical += gain * (e.latency_us - self.typical)
+            self.pace += gain * (e.latency_us / load_at_send - self.pace)
+        else:
+            # Balls stay: a server that ends attempts at once must not look light for it.
+            s.residue, s.residue_at = s.own(now) - len(s.open) + 1.0, now
+            s.fade_us = min(RESIDUE_US, int(RESIDUE * self.typical) or RESIDUE_US)
--- /dev/null
+++ b/brasshead/logic/sampling.py
@@ -0,0 +1,143 @@
+"""The sampling set and the band choice: who may be sampled, and which of two samples takes the request."""
+from __future__ import annotations
+
+from ..interface import Effect, Group, State
+from .bands import cutoffs, lower_band
+from .cold import ColdBudget
+from .core import Core
+from .entities import Request, Server
+from .health import Health
+from .load_table import FORGET_US, FRESH_US, LoadTable
+from .membership import Membership
+
+IDLE = 8.0  # attempts that all balancers together may hold at a server whatever is predicted
+HEADROOM = 0.45  # predicted time to an answer, as a share of the time to the aim: the rest is for the spread
+GIVE_WAY = 0.2  # the same for a client's retry and for requests beyond their tenant's share
+DRAWS = 16  # samples drawn until two fit the request; no more servers than this are looked at one by one
+REINDEX = 4  # the cutoffs of n servers serve n / 4 picks: the cost of a pick must not grow with n
+PROBE_SPEND = 0.01  # the most of the goal that asking both samples of every request may cost
+ASK_SHARE = 0.05  # asking may take, and a report may be old, this share of the time to the aim
+
+
+class Sampler:
+    """Two uniform samples among the servers that are fit, compared by band."""
+
+    def __init__(self, core: Core, members: Membership, table: LoadTable, health: Health, cold: ColdBudget,
+                 tells: int) -> None:
+        self.core, self.members, self.table, self.health, self.cold = core, members, table, health, cold
+        self.tells = tells
+        settings = core.settings
+        self.bearable = {c.name: min(d.aim_us for d in settings.classes if d.worth >= c.worth)
+                         for c in settings.classes}
+        self.idle = IDLE / settings.siblings
+        # Asking both samples of each request must be cheap, and there must be something to learn by it.
+        self.asks = (settings.can_probe and table.column >= 0
+                     and 2 * settings.prices.probe <= PROBE_SPEND)
+        self.ask_us = int(ASK_SHARE * min(c.aim_us for c in settings.classes))
+        # So young an entry is known, and no free pass is needed to learn of it.
+        self.known_us = self.ask_us if self.asks else FORGET_US if tells else -1
+        self.picks_left = 0  # picks that the cutoffs still serve
+
+    def pool(self, r: Request) -> list[Server]:
+        if not r.may_have_run or r.cls.effect is Effect.SAFE:
+            return self.members.ready
+        return [s for s in self.members.ready if self.may_go(r, s)]
+
+    def may_go(self, r: Request, s: Server) -> bool:
+        """Rules 2 and 3: asked again when an echo is in, for lists and windows change while it is awaited."""
+        if s.state is not State.READY:
+            return False
+        if not r.may_have_run or r.cls.effect is Effect.SAFE:
+            return True
+        _, first, sent = r.may_have_run[0]
+        until = sent + r.cls.window_us - 2 * self.core.settings.tick_us
+        if r.cls.effect is Effect.UNSAFE or self.core.now >= until:
+            return False
+        return r.cls.group is Group.ALL or (
+            s.zone == first.zone if r.cls.group is Group.ZONE else s.cell == first.cell)
+
+    def admits(self, r: Request, s: Server) -> bool:
+        # Where peers tell every answer, a server of which nothing is heard hangs: balancers that each found
+        # out by themselves lost a tenth of all requests. Some still try it; of cold ones less is heard.
+        now = self.core.now
+        silence = (now - s.news_at) * r.luck * self.cold.warmth(s, now) if self.tells else 0
+        if silence > 2 * max(FRESH_US, self.core.now - self.table.news_at):
+            return False
+        return (self.cold.admits(s, self.core.now, r.luck, self.asks)
+                and self.health.admits(s, self.core.now, self.table.typical))
+
+    def two(self, r: Request, pool: list[Server]) -> tuple[Server, Server] | None:
+        """Two uniform samples with replacement among the servers that are fit for this request."""
+        random, n = self.core.rng.random, len(pool)
+        self._index()
+        limit, left = self.limit(r), r.aim_at - self.core.now
+        fit: list[Server] = []
+        draws = 0
+        while draws < max(2, min(DRAWS, n // 2)) and len(fit) < 2:  # uniform over those that fit
+            s = pool[int(random() * n)]
+            draws += 1
+            if s not in r.tried and self.admits(r, s) and self.hopeful(r, s, limit, left):
+                fit.append(s)
+        self.cold.drew(len(fit) / draws)
+        if len(fit) == 2:
+            return fit[0], fit[1]
+        if n <= DRAWS:
+            fit = [s for s in pool if self.admits(r, s)]
+            fit = [s for s in fit if s not in r.tried] or fit
+            fit = [s for s in fit if self.hopeful(r, s, limit, left)]
+        if not fit:
+            return None
+        return fit[int(random() * len(fit))], fit[int(random() * len(fit))]
+
+    def _index(self) -> None:
+        """Look at all entries: their mean and cutoffs, which then serve for some picks in a large fleet."""
+        self.picks_left -= 1
+        if self.picks_left >= 0:
+            return
+        now, n = self.core.now, len(self.members.ready)
+        self.picks_left = n // REINDEX
+        self.health.look(self.members.ready, now, self.table.typical)
+        self.table.look(self.members.ready, now)
+        for s in self.members.ready:
+            s.pace = self.table.pace_of(s, now, self.cold.warmth(s, now))
+        self.table.cuts = cutoffs([self._rank(s) for s in self.members.ready]) if n else []
+
+    def limit(self, r: Request) -> float:
+        """The longest predicted time to an answer with which a server may still be sampled."""
+        if not self.table.pace:
+            return float("inf")
+        # A class that can wait longer must not crowd the servers beyond what one worth as much can bear.
+        share = GIVE_WAY if r.gives_way else HEADROOM
+        return min(r.aim_at - self.core.now, self.bearable[r.cls.name]) * share
+
+    def hopeful(self, r: Request, s: Server, limit: float, left: int) -> bool:
+        """Whether a server may be sampled, by its predicted time and what it holds of ours."""
+        # Heavy requests that not even an idle server could answer in time took a third of the fleet. While
+        # most servers hold nothing they displace little, and hints are rough: then they may try.
+        workable = r.size <= 1.0 or r.size * s.pace * min(1.0, self.table.mean) <= left
+        if self.core.now - s.heard_at <= self.known_us:
+            # Known, not guessed: no pass here, but one that holds nothing is fit.
+            held = s.own(self.core.now) + self.table.others(s, self.core.now)
+            # Nor is it refused for what comes after the aim but keeps part of its worth.
+            late = 0.0 if r.gives_way else r.cls.late_worth * (r.deadline - r.aim_at)
+            return workable if held < 1.0 else (held + r.size) * s.pace <= limit + HEADROOM * late
+        # A quiet balancer knows too little to refuse by a guess: a server that holds next to nothing of ours
+        # may be tried. The pass is shared over the balancers, or they keep a jam up; failed attempts count as
+        # held, or a full server that turns all away at once would be tried for ever.
+        own = s.own(self.core.now)
+        if own < min(1.0, self.idle):
+            return workable
+        predicted = (own + self.table.others(s, self.core.now) + r.size) * s.pace
+        return predicted <= limit or (own < self.idle and predicted <= left)
+
+    def _rank(self, s: Server) -> float:
+        """What the bands are made of."""
+        # A random fraction, or small counts tie: with half the servers idle the median itself is idle.
+        held = s.own(self.core.now) + self.table.others(s, self.core.now)
+        return (held + self.core.rng.random()) * s.pace
+
+    def lighter(self, r: Request, pair: tuple[Server, Server]) -> tuple[Server, float]:
+        """The sample in the lower band, and what it will hold with this request."""
+        one, other = pair
+        s = one if lower_band(self.core.rng, self.table.cuts, self._rank(one), self._rank(other)) else other
+        return s, s.own(self.core.now) + self.table.others(s, self.core.now) + r.size
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -133,3 +133,11 @@
     note = struct.pack(">BHHII", 90, 0, 1, len(text), 4)
     got = run(frame(1, [spawn(0, text), note], text + b"junk"))
     assert got.returncode == 0 and replies(got.stdout)[0][4:8] == bytes(4)  # taken in, nothing done
+
+
+def test_the_oracle_digests_the_same_streams_whatever_the_order_of_sets() -> None:
+    # What compares two builds of the decision module must not see differences that are its own.
+    code = "import json; from tests.oracle import digests; print(json.dumps(digests(4)))"
+    seen = {subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=True, capture_output=True,
+                           env={**os.environ, "PYTHONHASHSEED": seed}).stdout for seed in ("1", "2")}
+    assert len(seen) == 1 and len(set(json.loads(seen.pop()).values())) == 4
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -5,7 +5,9 @@
 
 from tests.helpers import MS, SECOND, Drive, only
 
-from brasshead.logic import NOTE, RETRY_BURST, RETRY_SHARE, Request, Server
+from brasshead.logic.attempts import RETRY_BURST, RETRY_SHARE
+from brasshead.logic.entities import Request, Server
+from brasshead.logic.peers import NOTE
 from brasshead.interface import (
     Backend, ClientGone, Outcome, PeerMessage, Prices, Probe, ProbeEnded, Refuse, RequestArrived,
     RequestClass, Send, State, Tell,
@@ -44,7 +46,7 @@
     _, actions = d.request()
     send = only(actions, Send)[0]
     d.end(send, Outcome.ERROR)
-    server = d.balancer.servers[send.backend]
+    server = d.balancer.members.servers[send.backend]
     first = server.own(d.now) - len(server.open)
     later = server.own(d.now + 10 * SECOND) - len(server.open)
     assert first == 1.0 and 0.0 < later < 0.2
@@ -58,9 +60,9 @@
     d.wait(100 * MS)
     d.end(only(quick, Send)[0], Outcome.OK, 100 * MS)
     d.wait(200 * MS)
-    before = d.balancer.servers["s0"].streak
+    before = d.balancer.members.servers["s0"].streak
     d.end(only(slow, Send)[0], Outcome.TIMEOUT, 300 * MS)
-    assert d.balancer.servers["s0"].streak == before == 0
+    assert d.balancer.members.servers["s0"].streak == before == 0
 
 
 def test_crowded_server_is_shed_well_before_the_aim_is_lost() -> None:
@@ -101,7 +103,7 @@
     d = Drive(servers=320)
     d.serve(10)
     looks, draws = [], []
-    look, admits = d.balancer.table.look, d.balancer._admits
+    look, admits = d.balancer.table.look, d.balancer.sampler.admits
 
     def looked(servers: list[Server], now: int) -> None:
         looks.append(now)
@@ -112,7 +114,7 @@
         return admits(r, s)
 
     d.balancer.table.look = looked  # type: ignore[method-assign]
-    d.balancer._admits = drawn  # type: ignore[method-assign]
+    d.balancer.sampler.admits = drawn  # type: ignore[method-assign]
     sends = [s for _ in range(160) for s in only(d.request()[1], Send)]
     assert len(sends) == 160 and len(looks) <= 2 and len(draws) <= 3 * 160
     for send in sends[:20]:
@@ -244,9 +246,9 @@
     other = Drive(servers=4, seed=3, report_fields=("inflight",), can_tell=True, siblings=5)
     for junk in (b"", b"\xff" * len(told[0].payload), told[0].payload + b"\0"):
         other.event(PeerMessage(2, junk))
-    assert not any(s.heard_at for s in other.balancer.servers.values())
+    assert not any(s.heard_at for s in other.balancer.members.servers.values())
     other.event(PeerMessage(2, told[0].payload))
-    assert [s.others for s in other.balancer.servers.values() if s.heard_at] == [8.0]
+    assert [s.others for s in other.balancer.members.servers.values() if s.heard_at] == [8.0]
 
 
 def test_a_peer_is_believed_about_listed_servers_only() -> None:
@@ -264,7 +266,7 @@
     d = Drive(servers=1, siblings=400, report_fields=("inflight",))
     for _ in range(300):
         d.end(only(d.request()[1], Send)[0], Outcome.OK, 400 * MS, report=(10.0,))
-        d.balancer.servers["s0"].others = 0.0  # what it is taken to hold at the next send
+        d.balancer.members.servers["s0"].others = 0.0  # what it is taken to hold at the next send
     assert d.balancer.table.pace < 80 * MS
 
 
@@ -277,14 +279,14 @@
         d.end(send, Outcome.OK, 100 * MS, report=(200.0 if slow else 50.0, 1.0))
         d.wait(100 * MS)
     d.request()
-    assert d.balancer.servers["s0"].service == 200.0
-    assert d.balancer.servers["s0"].pace > d.balancer.servers["s1"].pace
+    assert d.balancer.members.servers["s0"].service == 200.0
+    assert d.balancer.members.servers["s0"].pace > d.balancer.members.servers["s1"].pace
 
 
 def test_a_server_that_peers_fall_silent_about_is_drawn_rarely() -> None:
     # bajio big-2: each of 351 balancers found ten hung servers by losing a request to each.
     d = Drive(servers=12, report_fields=("inflight",), can_tell=True, siblings=300)
-    tags = {s.id: tag for tag, s in d.balancer.tags.items()}
+    tags = {s.id: tag for tag, s in d.balancer.members.tags.items()}
     for _ in range(20):
         for b in d.backends[1:]:
             d.event(PeerMessage(1, NOTE.pack(tags[b.id], 1, 0)))
@@ -304,7 +306,7 @@
         for _ in range(30):
             d.end(only(d.request()[1], Send)[0], Outcome.OK, 100 * MS, report=(1.0,))
             d.wait(100 * MS)
-        d.event(PeerMessage(1, NOTE.pack(next(iter(d.balancer.tags)), 6, 0)))
+        d.event(PeerMessage(1, NOTE.pack(next(iter(d.balancer.members.tags)), 6, 0)))
         actions = d.event(RequestArrived(900, 0, 4 * SECOND, is_retry=retry))
         assert bool(only(actions, Send)) is not retry
 
@@ -318,11 +320,11 @@
         d.list(Backend(f"new{i}"), Backend(f"new{i - 1}", State.GONE))
     d.list(Backend("s0", State.GONE))
     # The last one, and the one whose attempt is out.
-    assert set(d.balancer.servers) == {"s0", "new49"} and len(d.balancer.tags) == 2
+    assert set(d.balancer.members.servers) == {"s0", "new49"} and len(d.balancer.members.tags) == 2
     d.end(send, Outcome.OK)
     d.event(ProbeEnded("s0", Outcome.TIMEOUT, 50 * MS))
     d.list()
-    assert set(d.balancer.servers) == {"new49"} and len(d.balancer.tags) == 1
+    assert set(d.balancer.members.servers) == {"new49"} and len(d.balancer.members.tags) == 1
 
 
 def test_attempts_that_clients_leave_do_not_pile_up_as_load() -> None:
@@ -338,7 +340,7 @@
             d.event(ClientGone(number))
             d.end(send, Outcome.CANCELLED, 2 * MS)
         d.wait(5 * MS)
-    assert sent == 300 and all(s.own(d.now) < 5.0 for s in d.balancer.servers.values())
+    assert sent == 300 and all(s.own(d.now) < 5.0 for s in d.balancer.members.servers.values())
 
 
 def test_a_request_that_finds_all_busy_waits_a_little_for_a_place() -> None:
@@ -352,7 +354,7 @@
     assert only(d.request()[1], Refuse)  # one is held already: more of them would all come late
     d.end(taken[0], Outcome.OK, 90 * MS)
     assert [s.request for s in only(d.wait(60 * MS), Send)] == [number]
-    assert not d.balancer.waiting
+    assert not d.balancer.attempts.waiting
 
 
 def test_one_that_waits_is_turned_away_while_its_client_can_still_use_that() -> None:
@@ -363,4 +365,4 @@
     began = d.now
     while not only(actions, Refuse):
         actions = d.wait(MS)
-    assert d.now - began < 400 * MS and not d.balancer.waiting
+    assert d.now - began < 400 * MS and not d.balancer.attempts.waiting
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import re
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -17,7 +18,9 @@
 
 
 def test_module_stays_within_its_limits() -> None:
-    text = (ROOT / "brasshead" / "logic.py").read_text().splitlines()
-    assert sum(1 for line in text if line.strip()) <= 1200
-    for path in [*ROOT.glob("brasshead/*.py"), *ROOT.glob("tests/*.py")]:
+    policy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+    assert {ROOT / name for name in policy} == set(ROOT.glob("brasshead/logic/*.py"))
+    lines = [line for name in policy for line in (ROOT / name).read_text().splitlines()]
+    assert sum(1 for line in lines if line.strip()) <= 1200
+    for path in [*ROOT.glob("brasshead/**/*.py"), *ROOT.glob("tests/*.py")]:
         assert all(len(line) <= 110 for line in path.read_text().splitlines()), path
