Evidence with a date: ghosts end with the next report, a start feels its way, stalls of one's own are noticed

The module took what it had measured across its own standing still for the fleet's pace (8 became 75 ms), ghosts of attempts that never ran filled idle servers, and a tenant's bucket began empty with a guessed part.

--- a/brasshead/logic/admission.py
+++ b/brasshead/logic/admission.py
@@ -11,6 +11,7 @@
 
 MS = 1_000
 HOLD_US = 20 * MS  # a held request is looked at this often
+FEEL_US = 2 * MS  # and one that waits for the window of the slow start
 WAITING = 2.0  # requests that all balancers together may hold for each server while all are busy
 SOON = 0.15  # such a one is looked at this often, as a share of the typical latency
 IN_TIME = 1.5  # and held while so many typical latencies are left to its aim
@@ -35,7 +36,8 @@
         self.attempts.requests[e.request] = r
         self.attempts.budget = min(RETRY_BURST, self.attempts.budget + RETRY_SHARE)
         # A retry has lost part of its time to the aim unseen: served before first tries it came late.
-        r.gives_way = self.shares.over(e.tenant, now) or e.is_retry
+        # So has one that the caller did not read while it stood still.
+        r.gives_way = self.shares.over(e.tenant, now) or e.is_retry or self.core.waited_unread()
         self.advance(r)
 
     def advance(self, r: Request) -> None:
@@ -46,6 +48,8 @@
         if left <= 0 or r.sends >= self.core.settings.max_attempts:
             return self.attempts.finish(r)
         pool = self.sampler.pool(r)
+        if not self._opened(r):
+            return None
         pair = self.sampler.two(r, pool) if pool else None
         if pair is None:
             # Held while nobody may be sent to, and a little while all are busy; else refused at once.
@@ -63,8 +67,10 @@
         silent = r.silent if len(r.silent) < len(set(pair)) else []
         r.pair, r.silent = None, []
         fit = [s for s in pair if self.sampler.may_go(r, s) and s not in silent
-               and self.sampler.hopeful(r, s, limit, left)]
+               and self.sampler.hopeful(r, s, limit, left, asked=True)]
         if fit and self._left(r) > 0:
+            if not self._opened(r):  # others that asked at the same time went first
+                return None
             return self.attempts.send(r, *self.sampler.lighter(r, (fit[0], fit[-1])))
         if r.pairs < r.pairs_most:
             return self.advance(r)
@@ -72,6 +78,18 @@
             return self._wait(r)
         self.attempts.finish(r)
 
+    def _opened(self, r: Request) -> bool:
+        """Whether the slow start lets it go; else it is held as long as answers may open the way in time."""
+        now = self.core.now
+        servers = len(self.sampler.members.ready)
+        if r.sends or self.attempts.start.admits(now, servers, self.table.typical, self.core.stood_at):
+            return True
+        if now + FEEL_US < r.aim_at - self.core.margin:
+            self.core.later(now + FEEL_US, self._held, r)
+        else:
+            self.attempts.finish(r)
+        return False
+
     def _can_wait(self, r: Request) -> bool:
         """Whether a place that frees up soon still serves it: one turned away comes back after its aim."""
         most = max(1.0, WAITING * len(self.sampler.members.ready) / self.core.settings.siblings)
--- a/brasshead/logic/asking.py
+++ b/brasshead/logic/asking.py
@@ -45,10 +45,10 @@
         s = self.members.servers.get(e.backend)
         if s is None:
             return
-        s.asked_at, askers, s.askers = 0, s.askers, []
+        asked_at, s.asked_at, askers, s.askers = s.asked_at, 0, s.askers, []
         heard = e.outcome is Outcome.OK and 0 <= self.table.column < len(e.report)
         if heard:
-            self.table.holds(self.core.now, s, e.report[self.table.column])
+            self.table.holds(self.core.now, s, e.report[self.table.column], asked_at)
         for r in askers:
             if r.pair is not None and not r.done and s in r.silent:
                 if heard:
--- a/brasshead/logic/attempts.py
+++ b/brasshead/logic/attempts.py
@@ -8,9 +8,11 @@
 )
 from .core import Core
 from .entities import Request, Server
+from .evidence import tells_full
 from .peers import Peers
 from .sampling import Sampler
 from .shares import TenantShares
+from .slow_start import SlowStart
 
 RETRY_SHARE, RETRY_BURST = 0.15, 10.0  # repeats that may load the servers, as a share of first tries
 
@@ -24,6 +26,8 @@
         self.requests: dict[int, Request] = {}
         self.waiting: set[int] = set()  # requests held because all servers are busy
         self.budget = RETRY_BURST
+        self._beating = False
+        self.start = SlowStart(core.settings.siblings)
         self.advance: Callable[[Request], None]  # what becomes of one whose attempt failed; admission sets it
 
     def send(self, r: Request, s: Server, load: float) -> None:
@@ -32,13 +36,20 @@
         r.out[attempt] = (s, now, load)
         r.may_have_run.append((attempt, s, now))
         r.tried.append(s)
-        s.open[(r.id, attempt)] = now
+        s.open[(r.id, attempt)] = s.sent_at = now
+        self.start.sent(now)
+        if not self._beating:
+            self.core.beat(self._beats)
         self.core.actions.append(Send(r.id, s.id, max(1, r.deadline - now - self.core.margin)))
         if r.cls.effect is not Effect.UNSAFE and self.table.typical and self.core.settings.second_copies:
             at = now + int(3 * self.table.typical)
             if at + self.table.typical < r.aim_at:
                 self.core.later(at, self._overdue, (r, attempt))
 
+    def _beats(self) -> bool:
+        self._beating = self.start.out > 0
+        return self._beating
+
     def _overdue(self, what: tuple[Request, int]) -> None:
         """An attempt takes unusually long: try elsewhere while the aim can still be made."""
         r, attempt = what
@@ -59,11 +70,14 @@
             return
         s, sent, load = r.out.pop(e.attempt)
         s.open.pop((r.id, e.attempt), None)
-        self.table.ended(now, s, e, load)
+        self.start.ended(now, e.outcome is Outcome.OK)
+        self.table.ended(now, s, e, load, timed=sent >= self.core.stood_at)
         if self.peers.tells and e.outcome is Outcome.OK and len(e.report) > self.table.column:
             self.peers.tell(s, e.report[self.table.column] - 1)
         # A time-out tells against a server only if it has answered nothing since: else it is late, not ill.
-        if e.outcome is not Outcome.TIMEOUT or s.answered_at <= sent:
+        # One that says it is full answers: that is load, and the table has it.
+        full = tells_full(e, self.table.column, self.table.mean)
+        if not full and (e.outcome is not Outcome.TIMEOUT or s.answered_at <= sent):
             self.health.ended(s, now, e.outcome)
         self.shares.learn(len(s.open) + 1, max(0.0, s.others))
         if e.outcome in NEVER_RAN:
--- a/brasshead/logic/balancer.py
+++ b/brasshead/logic/balancer.py
@@ -53,5 +53,9 @@
         return self.core.actions
 
     def _listed(self, e: BackendsChanged) -> None:
+        before = set(self.members.ready)
         if self.members.changed(e):
+            ready = self.members.ready
+            if ready and before.isdisjoint(ready):
+                self.attempts.start.begin(self.core.now, len(ready))
             self.sampler.picks_left = 0  # the cutoffs are of another list
--- a/brasshead/logic/core.py
+++ b/brasshead/logic/core.py
@@ -8,6 +8,10 @@
 
 from ..interface import Action, Log, Settings, SetTimer, TimerFired
 
+BEAT_US = 10_000  # while attempts are out a timer is due at least this often,
+STALL_US = 10_000  # and one that is handed in later than this tells that the caller stood still
+BACKLOG = 0.1  # of the time for which a caller stood still it takes to read what has come meanwhile
+
 
 class Core:
     """One event at a time: `begin` it, let the rooms act, take `actions`."""
@@ -16,6 +20,7 @@
         self.settings = settings
         self.rng = Random(seed)
         self.now = 0
+        self.stood_at = self.stood_us = 0  # when the caller went on after standing still, and for how long
         self.actions: list[Action] = []
         self._due: list[tuple[int, int, Callable[[Any], None], Any]] = []
         self._due_count = 0
@@ -25,8 +30,16 @@
         self.margin = max(0, 2 * settings.tick_us - settings.answer_slack_us // 2)
 
     def begin(self, now: int) -> None:
+        # A timer due long ago and handed in only now, or not yet: the caller itself stood still (no CPU for
+        # it, a long turn), and what it measured across that time says nothing of others.
+        if self._armed and now - self._armed > STALL_US:
+            self.stood_at, self.stood_us = now, now - self._armed
         self.now, self.actions = now, []
 
+    def waited_unread(self) -> bool:
+        """Whether what is read now has probably waited for the caller to go on."""
+        return self.now - self.stood_at < BACKLOG * self.stood_us
+
     def log(self, text: str) -> None:
         self.actions.append(Log(text))
 
@@ -36,6 +49,11 @@
         heappush(self._due, (at, self._due_count, call, what))
         self._arm()
 
+    def beat(self, goes_on: Callable[[], bool]) -> None:
+        """Keep a timer due as long as `goes_on`, so that `stood_at` can tell."""
+        if goes_on():
+            self.later(self.now + BEAT_US, self.beat, goes_on)
+
     def _arm(self) -> None:
         if self._due and (not self._armed or self._due[0][0] < self._armed):
             self._armed = self._due[0][0]
--- a/brasshead/logic/entities.py
+++ b/brasshead/logic/entities.py
@@ -2,19 +2,19 @@
 from __future__ import annotations
 
 from ..interface import Backend, BackendId, Effect, Group, RequestArrived, RequestClass
+from .evidence import Fading
 
 SECOND = 1_000_000
-RESIDUE_US = SECOND  # the weight of an attempt that ended badly halves in so long at most
 ASK_PAIRS = 4  # pairs asked for one request before it is given up as hopeless
 
 
 class Server:
     """What this balancer knows of one backend."""
 
-    __slots__ = ("id", "zone", "cell", "hint", "state", "started_at", "open", "residue", "residue_at",
+    __slots__ = ("id", "zone", "cell", "hint", "state", "started_at", "open", "ghosts", "bounced",
                  "others", "heard_at", "latency", "load", "samples", "answered_at", "ended_at",
                  "failing", "streak", "out_until", "out_us", "allowance", "asked_at", "askers",
-                 "pace", "service", "news_at", "fade_us")
+                 "pace", "service", "news_at", "sent_at", "suspect_until")
 
     def __init__(self, b: Backend, now: int) -> None:
         self.id = b.id
@@ -29,18 +29,18 @@
         self.hint, self.started_at = max(b.capacity_hint, 1e-6), b.started_at
 
     def own(self, now: int) -> float:
-        """Own attempts out, and what is left of the weight of those that ended badly."""
-        faded = self.residue and self.residue * self.fade_us / (self.fade_us + now - self.residue_at)
-        return len(self.open) + faded
+        """Own attempts out, and what is left of those that may run on though they have ended here."""
+        return len(self.open) + self.ghosts.at(now)
 
     def reset(self, now: int) -> None:
         """Forget what was learned of an earlier process."""
         self.news_at = now  # when it was last heard of in any way
         self.pace = 1.0  # as of the last look at the table
-        self.residue = self.others = self.service = self.latency = self.load = self.failing = 0.0
-        self.residue_at = self.heard_at = self.answered_at = self.ended_at = self.samples = self.streak = 0
+        self.ghosts, self.bounced = Fading(), Fading()  # the second: ended at once, which makes nobody light
+        self.others = self.service = self.latency = self.load = self.failing = 0.0
+        self.heard_at = self.answered_at = self.ended_at = self.samples = self.streak = 0
         self.out_until = self.out_us = self.allowance = 0  # allowance 0: no limit
-        self.fade_us = RESIDUE_US
+        self.sent_at = self.suspect_until = 0
 
 
 class Request:
--- a/brasshead/logic/health.py
+++ b/brasshead/logic/health.py
@@ -20,9 +20,11 @@
     def __init__(self, rng: Random, log: Callable[[str], None]) -> None:
         self.rng, self.log = rng, log
         self.shared = False
+        self.stood_at = 0
 
-    def look(self, servers: list[Server], now: int, typical: float) -> None:
+    def look(self, servers: list[Server], now: int, typical: float, stood_at: int) -> None:
         """When most look ill the cause is shared, and the rest would drown: then none is left out."""
+        self.stood_at = stood_at  # silence before that was the caller's own
         self.shared = 2 * sum(self.ill(s, now, typical) for s in servers) > len(servers)
 
     def admits(self, s: Server, now: int, typical: float) -> bool:
@@ -34,7 +36,8 @@
         if len(s.open) < 2 or not typical:
             return False
         # Silent: takes work and answers nothing.
-        return now - max(next(iter(s.open.values())), s.answered_at) > SILENT * typical
+        since = max(next(iter(s.open.values())), s.answered_at, self.stood_at)
+        return now - since > SILENT * typical
 
     def ended(self, s: Server, now: int, outcome: Outcome) -> None:
         if outcome is Outcome.OK:
--- a/brasshead/logic/load_table.py
+++ b/brasshead/logic/load_table.py
@@ -2,13 +2,15 @@
 from __future__ import annotations
 
 from ..interface import AttemptEnded, Outcome, Settings
-from .entities import RESIDUE_US, SECOND, Server
+from .entities import SECOND, Server
+from .evidence import AT_ONCE, LEAVES_WORK
 
 FRESH_US = SECOND  # a report this young counts in full; older ones fade to the mean as FRESH_US / age
 GAIN, SERVICE_GAIN = 0.1, 0.3  # weight of a new sample in smoothed figures; in those the server has smoothed
 PRIOR = 4  # a learned pace counts half after this many answers
 FORGET_US = 5 * SECOND  # a pace not confirmed for this long counts half: a server shunned must be seen again
-RESIDUE = 10  # weight of an attempt that ended badly fades over so many latencies at most
+FADE, FADE_US = 10, SECOND  # what a bad end weighs halves in so many latencies, at most this
+LATE = 5  # an answer later than this many typical ones tells of a stall, not of the fleet's pace
 
 
 class LoadTable:
@@ -26,6 +28,7 @@
         self.cost = 0.0  # mean cost of a request by its hints
         self.pace = 0.0  # fleet: time per unit of load
         self.typical = 0.0  # fleet: latency of answers
+        self.answers = 0
 
     def look(self, servers: list[Server], now: int) -> None:
         """What the entries come to in the mean."""
@@ -54,9 +57,12 @@
         self.cost += (GAIN / 4 if self.cost else 1.0) * (cost_us - self.cost)
         return cost_us / self.cost
 
-    def holds(self, now: int, s: Server, held: float) -> None:
-        """Take in what a probe or a peer tells: it stands for itself and is not smoothed."""
+    def holds(self, now: int, s: Server, held: float, asked_at: int = -1) -> None:
+        """Take in what a probe or a peer tells: it stands for itself and is not smoothed. A report asked for
+        after an attempt ended badly counts what still runs of it."""
         s.others, s.heard_at, s.news_at = held - len(s.open), now, now
+        if asked_at >= s.ghosts.since:
+            s.ghosts.clear()
 
     def works(self, s: Server, service_ms: float) -> None:
         """Learn from a reported service time, waiting left out, how fast a server works."""
@@ -75,13 +81,15 @@
             pace += w * (s.latency / s.load - pace)
         return pace
 
-    def ended(self, now: int, s: Server, e: AttemptEnded, load_at_send: float) -> None:
-        """Learn from an attempt that has just been taken off s.open."""
+    def ended(self, now: int, s: Server, e: AttemptEnded, load_at_send: float, timed: bool = True) -> None:
+        """Learn from an attempt that has just been taken off s.open; `timed`: its latency is the server's."""
         s.ended_at = now
         if self.column >= 0 and len(e.report) > self.column:
             # The report holds our own attempts too: what remains after them is the others' share.
             others = e.report[self.column] - len(s.open) - 1
-            gain = 1.0 if not s.heard_at else max(GAIN, min(1.0, (now - s.heard_at) / FRESH_US))
+            afresh = not s.heard_at or s.ghosts.at(now)  # it counts what still runs, and replaces the guess
+            gain = 1.0 if afresh else max(GAIN, min(1.0, (now - s.heard_at) / FRESH_US))
+            s.ghosts.clear()
             s.others += gain * (others - s.others)
             s.heard_at = s.news_at = now
             # The load at sending may be an old guess: a jam that grew unseen made every server look slow, and
@@ -89,17 +97,25 @@
             load_at_send = max(load_at_send, e.report[self.column])
         if 0 <= self.service_column < len(e.report):
             self.works(s, e.report[self.service_column])
-        if e.outcome is Outcome.OK or (e.outcome is Outcome.TIMEOUT and e.latency_us > self.typical):
+        if timed and (e.outcome is Outcome.OK
+                      or (e.outcome is Outcome.TIMEOUT and e.latency_us > self.typical)):
             gain = max(GAIN, 1 / (s.samples + 1))
             s.latency += gain * (e.latency_us - s.latency)
             s.load += gain * (load_at_send - s.load)
             s.samples += 1
         if e.outcome is Outcome.OK:
             s.answered_at = now
-            gain = GAIN / 4 if self.pace else 1.0
-            self.typical += gain * (e.latency_us - self.typical)
-            self.pace += gain * (e.latency_us / load_at_send - self.pace)
-        else:
-            # Balls stay: a server that ends attempts at once must not look light for it.
-            s.residue, s.residue_at = s.own(now) - len(s.open) + 1.0, now
-            s.fade_us = min(RESIDUE_US, int(RESIDUE * self.typical) or RESIDUE_US)
+            s.bounced.clear()
+        if e.outcome is Outcome.OK and timed:
+            # The first answers wait for connections: those that come next weigh more.
+            gain = max(GAIN / 4, 2 / (self.answers + 2))
+            self.answers += 1
+            latency = min(e.latency_us, LATE * self.typical) if gain <= GAIN else e.latency_us
+            self.typical += gain * (latency - self.typical)
+            self.pace += gain * (latency / load_at_send - self.pace)
+        half_us = min(FADE_US, int(FADE * self.typical) or FADE_US)
+        if e.outcome in LEAVES_WORK:
+            s.ghosts.add(now, half_us)
+        if e.outcome in AT_ONCE:
+            # Balls stay: a server that ends attempts at once must not look light for it, whatever it reports.
+            s.bounced.add(now, half_us)
--- a/brasshead/logic/sampling.py
+++ b/brasshead/logic/sampling.py
@@ -14,6 +14,7 @@
 HEADROOM = 0.45  # predicted time to an answer, as a share of the time to the aim: the rest is for the spread
 GIVE_WAY = 0.2  # the same for a client's retry and for requests beyond their tenant's share
 DRAWS = 16  # samples drawn until two fit the request; no more servers than this are looked at one by one
+SHUN_US = 250_000  # where it cannot be asked, one that holds nothing of ours is tried again after so long
 REINDEX = 4  # the cutoffs of n servers serve n / 4 picks: the cost of a pick must not grow with n
 PROBE_SPEND = 0.01  # the most of the goal that asking both samples of every request may cost
 ASK_SHARE = 0.05  # asking may take, and a report may be old, this share of the time to the aim
@@ -96,7 +97,7 @@
             return
         now, n = self.core.now, len(self.members.ready)
         self.picks_left = n // REINDEX
-        self.health.look(self.members.ready, now, self.table.typical)
+        self.health.look(self.members.ready, now, self.table.typical, self.core.stood_at)
         self.table.look(self.members.ready, now)
         for s in self.members.ready:
             s.pace = self.table.pace_of(s, now, self.cold.warmth(s, now))
@@ -110,8 +111,9 @@
         share = GIVE_WAY if r.gives_way else HEADROOM
         return min(r.aim_at - self.core.now, self.bearable[r.cls.name]) * share
 
-    def hopeful(self, r: Request, s: Server, limit: float, left: int) -> bool:
-        """Whether a server may be sampled, by its predicted time and what it holds of ours."""
+    def hopeful(self, r: Request, s: Server, limit: float, left: int, asked: bool = False) -> bool:
+        """Whether a server may be sampled, by its predicted time and what it holds of ours. `asked`: its
+        entry is as good as it gets."""
         # Heavy requests that not even an idle server could answer in time took a third of the fleet. While
         # most servers hold nothing they displace little, and hints are rough: then they may try.
         workable = r.size <= 1.0 or r.size * s.pace * min(1.0, self.table.mean) <= left
@@ -125,15 +127,17 @@
         # may be tried. The pass is shared over the balancers, or they keep a jam up; failed attempts count as
         # held, or a full server that turns all away at once would be tried for ever.
         own = s.own(self.core.now)
-        if own < min(1.0, self.idle):
-            return workable
+        if own < min(1.0, self.idle) or (self.asks and not asked):
+            return workable  # refused on what it says, not on what it was once taken for
+        if not s.open and self.core.now - max(s.heard_at, s.sent_at) > SHUN_US * max(1.0, 1 / self.idle):
+            return workable  # nobody else would ever correct the entry
         predicted = (own + self.table.others(s, self.core.now) + r.size) * s.pace
         return predicted <= limit or (own < self.idle and predicted <= left)
 
     def _rank(self, s: Server) -> float:
         """What the bands are made of."""
         # A random fraction, or small counts tie: with half the servers idle the median itself is idle.
-        held = s.own(self.core.now) + self.table.others(s, self.core.now)
+        held = s.own(self.core.now) + self.table.others(s, self.core.now) + s.bounced.at(self.core.now)
         return (held + self.core.rng.random()) * s.pace
 
     def lighter(self, r: Request, pair: tuple[Server, Server]) -> tuple[Server, float]:
--- /dev/null
+++ b/brasshead/logic/slow_start.py
@@ -0,0 +1,48 @@
+"""Slow start: while nothing is known of a fleet, answers open the window (RFC 5681, section 3.1).
+
+The first second of an agent saw both faults: with no paces learned it sent all it had, 45 attempts at once to
+six servers; then it took what it measured for the fleet's pace and refused what came next.
+"""
+from __future__ import annotations
+
+FIRST = 3.0  # attempts out at each server, over all balancers, before the first answer
+LEARNED = 4.0  # answers for each place of the first window, after which predictions take over
+STALLED = 8.0  # no answer for this many typical latencies with the window's worth out: begin again
+
+
+class SlowStart:
+    """A window on this balancer's attempts out; open without end once paces are learned."""
+
+    def __init__(self, siblings: int) -> None:
+        self._siblings = siblings
+        self.window = 0.0
+        self.out = 0
+        self.wanted = 0  # answers until the paces count as learned; 0: they are
+        self.answered_at = 0
+
+    def begin(self, now: int, servers: int) -> None:
+        """A list that is new as a whole, or a fleet that answers again."""
+        self.window = max(1.0, FIRST * servers / self._siblings)
+        self.wanted = max(8, int(LEARNED * self.window))
+        self.answered_at = now
+
+    def admits(self, now: int, servers: int, typical: float, stood_at: int) -> bool:
+        """Whether one more attempt may go out now. `stood_at`: silence before that was the caller's own."""
+        first = max(1.0, FIRST * servers / self._siblings)
+        silence = now - max(self.answered_at, stood_at)
+        if not self.wanted and typical and self.out >= first and silence > STALLED * typical:
+            self.begin(now, servers)
+        return not self.wanted or self.out < self.window
+
+    def sent(self, now: int) -> None:
+        if not self.out:
+            self.answered_at = max(self.answered_at, now)  # silence counts from the first attempt out
+        self.out += 1
+
+    def ended(self, now: int, answered: bool) -> None:
+        self.out -= 1
+        if answered:
+            self.answered_at = now
+            if self.wanted:
+                self.wanted -= 1
+                self.window += 1.0
--- /dev/null
+++ b/emulator/lab/module.py
@@ -0,0 +1,48 @@
+"""Which decision module is in the lab: this checkout's, or that of an earlier commit as a control."""
+from __future__ import annotations
+
+import importlib
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+
+class ModuleError(Exception):
+    """The module cannot be had; the text says why."""
+
+
+@dataclass(frozen=True)
+class Module:
+    """A build of the decision module: its interface's names, and its Balancer."""
+
+    interface: Any
+    balancer: Any
+
+
+def here() -> Module:
+    return Module(importlib.import_module("brasshead.interface"), importlib.import_module("brasshead.logic").Balancer)
+
+
+def at_commit(commit: str, repository: Path, folder: Path) -> Module:
+    """The module of a commit, unpacked into `folder` as a package of its own name beside this one. Raises
+    ModuleError: a shallow clone may not hold the commit."""
+    name = f"brasshead_{commit}"
+    package = folder / name
+    try:
+        names = subprocess.run(["git", "ls-tree", "-r", "--name-only", commit, "brasshead/"], cwd=repository,
+                               check=True, capture_output=True, text=True).stdout.split()
+        for path in names:
+            text = subprocess.run(["git", "show", f"{commit}:{path}"], cwd=repository, check=True,
+                                  capture_output=True).stdout
+            target = package / Path(path).relative_to("brasshead")
+            target.parent.mkdir(parents=True, exist_ok=True)
+            target.write_bytes(text)
+    except (OSError, subprocess.CalledProcessError) as e:
+        raise ModuleError(f"commit {commit} cannot be read from {repository.name}: {e}") from None
+    sys.path.insert(0, str(folder))
+    try:
+        return Module(importlib.import_module(f"{name}.interface"), importlib.import_module(f"{name}.logic").Balancer)
+    finally:
+        sys.path.remove(str(folder))
--- /dev/null
+++ b/emulator/lab/world.py
@@ -0,0 +1,224 @@
+"""Agents, servers and clients in virtual time: the world in which a decision module is tried.
+
+It has what a real one has and the module cannot see: connections that must be opened, answers on their way, reports
+that lag, and clients that come again when they are turned away. Everything is drawn from one seed.
+"""
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from functools import partial
+from random import Random
+
+from ..models.server import FOREVER, Job, JobServer, RepeatMemory, ServerSpec, Span
+from .agent import NET_US, Agent, Final
+from .module import Module
+
+MS, SECOND = 1_000, 1_000_000
+BIN_US = 10 * MS
+
+
+Answered = Callable[[str, tuple[float, ...]], None]  # outcome, report
+
+
+@dataclass(slots=True)
+class Faults:
+    """What is wrong with a server now. A time is `now < until`."""
+
+    turns_away_until: int = 0  # everything, unseen
+    reports_nothing_held: bool = False  # whatever it holds
+    refuses_connects: bool = False  # and breaks what is open
+    resets: float = 0.0  # share of attempts whose connection breaks when they have come
+    hangs: float = 0.0  # share of answers that never come
+    probes: str = ""  # "refused", "late", "capped"
+
+
+@dataclass(slots=True, frozen=True)
+class LabSpec:
+    """Sizes of the world; times in microseconds."""
+
+    servers: int = 6
+    agents: int = 2
+    rate: float = 400.0  # first tries a second over all agents
+    loud: float = 0.75  # the first agent's part of them
+    work_us: int = 9_500  # the median, of a lognormal spread
+    work_spread: float = 0.6
+    quotas: tuple[float, float] = (304.0, 143.0)  # of two tenants, requests a second over all agents
+    first_tenant: float = 0.79  # the first one's part of the traffic
+    aim_us: int = 80 * MS
+    deadline_us: int = 260 * MS
+    queue: int = 9
+    retries: int = 1
+    backoff_us: tuple[int, int] = (50 * MS, 200 * MS)
+    honour: float = 0.5  # share of clients that wait as Retry-After says
+    connect_us: int = 300  # a new connection
+    slow_connects_until: int = 0  # until then they take slow_connect_us
+    slow_connect_us: int = 120 * MS
+    report_lag_us: int = 0
+    length_us: int = 4 * SECOND
+    settle_us: int = SECOND  # after the last arrival
+
+
+@dataclass(slots=True)
+class Server:
+    """A modelled server with its faults and its own book."""
+
+    name: str
+    model: JobServer
+    faults: Faults = field(default_factory=Faults)
+    came: int = 0  # attempts that reached it, turned away ones too
+    drawn: int = 0  # attempts meant for it
+    reports: deque[tuple[int, tuple[float, ...]]] = field(default_factory=deque)
+    wake_at: int = FOREVER
+
+
+class World:
+    """Build it, let a script change it (`at`), `play` it, and read `finals`, `servers` and `idle_refused_us`."""
+
+    def __init__(self, module: Module, spec: LabSpec, seed: int) -> None:
+        self.module, self.spec, self.seed = module, spec, seed
+        self.rng = Random(f"lab {seed}")
+        self.now = SECOND
+        self.start = self.now
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._order = 0
+        self.memory = RepeatMemory(15 * SECOND)
+        self.servers: dict[str, Server] = {}
+        self.listed: dict[str, int] = {}  # name: when it started, 0: long ago
+        for i in range(spec.servers):
+            self.add_server(f"s{i}")
+        self.finals: list[Final] = []
+        self.idle_refused: set[int] = set()  # hundredths of a second in which nobody held anything, and one was refused
+        self._answers: dict[str, tuple[Answered, bool]] = {}
+        self.agents = [Agent(self, i) for i in range(spec.agents)]
+
+    # Scripts
+
+    def at(self, seconds: float, what: Callable[[], None]) -> None:
+        self.after(self.start + int(seconds * SECOND) - self.now, what)
+
+    def add_server(self, name: str, cold: bool = False, spans: list[Span] | None = None) -> Server:
+        spec = ServerSpec(slots=1, queue=self.spec.queue, speed=self.rng.uniform(0.95, 1.05),
+                          warm_up_us=24 * SECOND)
+        server = Server(name, JobServer(spec, self.now, cold, spans or [], self.memory,
+                                        Random(f"{self.seed} {name}")))
+        self.servers[name] = server
+        self.listed[name] = self.now if cold else 0
+        return server
+
+    def pause_all(self, seconds: float, length_s: float) -> None:
+        """The whole fleet stands still. To be called before `play`."""
+        at = self.start + int(seconds * SECOND)
+        for name in list(self.servers):
+            self.add_server(name, spans=[Span(at, at + int(length_s * SECOND), 1.0)])
+
+    def replace_all(self) -> None:
+        """Every server gives way to a new one, warm, and the lists say so at once."""
+        old = list(self.listed)
+        self.listed.clear()
+        for name in old:
+            self.add_server(f"{name}n")
+        for agent in self.agents:
+            agent.tell()
+
+    def burden(self, server: str, jobs: int) -> None:
+        """Work of somebody else."""
+        s = self.servers[server]
+        self._advance(s)
+        for i in range(jobs):
+            s.model.arrive(self.now, Job(f"else {self.now} {i}", 10 * MS))
+        self._schedule(s)
+
+    # Time
+
+    def after(self, us: int, what: Callable[[], None]) -> None:
+        self._order += 1
+        heappush(self._events, (self.now + max(0, us), self._order, what))
+
+    def play(self) -> World:
+        for agent in self.agents:
+            agent.begin()
+        end = self.start + self.spec.length_us
+        for i, agent in enumerate(self.agents):
+            quiet = (1 - self.spec.loud) / max(1, len(self.agents) - 1)
+            share = 1.0 if len(self.agents) == 1 else self.spec.loud if i == 0 else quiet
+            self._arrive(agent, self.spec.rate * share, end)
+        last = end + self.spec.settle_us
+        while self._events and self._events[0][0] <= last:
+            self.now, _, what = heappop(self._events)
+            what()
+        return self
+
+    def _arrive(self, agent: Agent, rate: float, end: int) -> None:
+        def come() -> None:
+            if self.now < end:
+                agent.take(tries=0)
+                self.after(int(self.rng.expovariate(rate) * SECOND), come)
+
+        self.after(int(self.rng.expovariate(rate) * SECOND), come)
+
+    # Servers
+
+    def reach(self, s: Server, job: Job, answered: Answered) -> None:
+        """An attempt's last byte has come to the server. `answered` hears ok or rejected, a way later."""
+        s.came += 1
+        f = s.faults
+        self._advance(s)
+        if f.refuses_connects or self.rng.random() < f.resets:
+            return self.after(NET_US, lambda: answered("reset", ()))
+        if self.now < f.turns_away_until or s.model.fallen or not s.model.arrive(self.now, job):
+            report = self.report(s)
+            return self.after(NET_US, lambda: answered("rejected", report))
+        self._answers[job.id] = (answered, self.rng.random() < f.hangs)
+        self._schedule(s)
+
+    def report(self, s: Server) -> tuple[float, ...]:
+        """in flight, queue, util as the server tells them now."""
+        if s.faults.reports_nothing_held:
+            return (0.0, 0.0, 0.0)
+        fresh = s.model.report(self.now)
+        if not self.spec.report_lag_us:
+            return fresh
+        s.reports.append((self.now, fresh))
+        while len(s.reports) > 1 and s.reports[1][0] <= self.now - self.spec.report_lag_us:
+            s.reports.popleft()
+        return s.reports[0][1]
+
+    def _advance(self, s: Server) -> None:
+        for job in s.model.advance(self.now):
+            answered, hangs = self._answers.pop(job.id, (None, False))
+            if answered is not None and not hangs:
+                self.after(NET_US, partial(answered, "ok", self.report(s)))
+
+    def _schedule(self, s: Server) -> None:
+        due = s.model.due()
+        if due < s.wake_at or s.wake_at <= self.now:
+            s.wake_at = due
+            if due < FOREVER:
+                self.after(due - self.now, lambda: self._wake(s, due))
+
+    def _wake(self, s: Server, due: int) -> None:
+        if s.wake_at != due:
+            return
+        s.wake_at = FOREVER
+        self._advance(s)
+        self._schedule(s)
+
+    def final(self, final: Final) -> None:
+        self.finals.append(final)
+        if final.status == "refused" and all(
+                not s.model.in_flight and s.faults.turns_away_until <= self.now for s in self.servers.values()):
+            self.idle_refused.add((self.now - self.start) // BIN_US)
+
+    # Figures
+
+    def service(self) -> float:
+        """Share of first tries whose client was served within the aim of its first try."""
+        firsts = [f for f in self.finals if f.first]
+        return sum(f.status == "served" and f.ended - f.at <= self.spec.aim_us for f in firsts) / max(1, len(firsts))
+
+    def refused(self, begin_s: float = 0.0, end_s: float = 1e9) -> int:
+        low, high = self.start + int(begin_s * SECOND), self.start + int(min(end_s, 1e6) * SECOND)
+        return sum(f.status == "refused" and low <= f.ended < high for f in self.finals)
--- /dev/null
+++ b/tests/test_beliefs.py
@@ -0,0 +1,270 @@
+"""What the module believes, on what evidence, and what newer evidence replaces it: a test for each row of the
+table in docs/design.md, and the hard cases played in the lab's virtual time."""
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from brasshead.interface import (
+    Action,
+    AttemptEnded,
+    Backend,
+    Event,
+    ListKind,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    Send,
+)
+from brasshead.logic.evidence import AT_ONCE, LEAVES_WORK, Fading, tells_full
+from brasshead.logic.slow_start import SlowStart
+from emulator.lab.module import here
+from emulator.lab.scripts import SCRIPTS
+from emulator.lab.world import World
+
+from .helpers import MS, SECOND, Drive, only
+
+REPORTS = ("inflight", "queue", "util")
+
+
+class Asking(Drive):
+    """Servers answer probes at once, with what they were said to hold."""
+
+    def __init__(self, servers: int) -> None:
+        self.held: dict[str, float] | None = None  # None: nobody answers
+        super().__init__(servers=servers, report_fields=REPORTS, can_probe=True)
+
+    def event(self, event: Event) -> list[Action]:
+        actions = super().event(event)
+        if self.held is not None:
+            for p in only(actions, Probe):
+                report = (self.held.get(str(p.backend), 0.0), 0.0, 0.0)
+                actions = actions + self.event(ProbeEnded(p.backend, Outcome.OK, MS, report))
+        return actions
+
+
+def asking(servers: int) -> Asking:
+    return Asking(servers)
+
+
+def fail(d: Drive, outcome: Outcome, report: tuple[float, ...] = ()) -> str:
+    """One attempt that ends so, after a while with no echo; the server it went to."""
+    sends: list[Send] = []
+    for _ in range(20):
+        sends += only(d.request()[1], Send) + only(d.wait(30 * MS), Send)
+        if sends:
+            break
+    d.end(sends[0], outcome, report=report)
+    return str(sends[0].backend)
+
+
+@pytest.mark.parametrize("outcome", sorted(set(Outcome) - LEAVES_WORK - {Outcome.OK}, key=str))
+def test_what_surely_does_not_run_leaves_no_work_behind(outcome: Outcome) -> None:
+    d = asking(servers=1)
+    name = fail(d, outcome)
+    server = d.balancer.members.servers[name]
+    assert server.own(d.now) == len(server.open)
+
+
+@pytest.mark.parametrize("outcome", [Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED])
+def test_what_may_still_run_weighs_until_a_later_report_counts_it(outcome: Outcome) -> None:
+    d = asking(servers=1)
+    server = d.balancer.members.servers[fail(d, outcome)]
+    assert server.own(d.now) - len(server.open) == pytest.approx(1.0)
+    asked = server.asked_at
+    server.asked_at = d.now - 1  # a probe from before the attempt ended may not count it
+    d.event(ProbeEnded("s0", Outcome.OK, 2 * MS, (0.0, 0.0, 0.0)))
+    assert server.own(d.now) - len(server.open) == pytest.approx(1.0), asked
+    d.wait(MS)
+    server.asked_at = d.now
+    d.event(ProbeEnded("s0", Outcome.OK, 2 * MS, (0.0, 0.0, 0.0)))
+    assert server.own(d.now) == len(server.open)
+
+
+def test_an_answer_of_the_server_counts_too() -> None:
+    d = asking(servers=1)
+    server = d.balancer.members.servers[fail(d, Outcome.TIMEOUT)]
+    fail(d, Outcome.OK, (3.0, 2.0, 1.0))
+    assert server.own(d.now) == len(server.open) and server.others == pytest.approx(2.0 - len(server.open))
+
+
+@pytest.mark.parametrize("outcome", sorted(AT_ONCE, key=str))
+def test_a_server_that_ends_all_at_once_looks_heavy_whatever_it_reports(outcome: Outcome) -> None:
+    d = asking(servers=2)
+    name = fail(d, outcome, (0.0, 0.0, 0.0))
+    bad = d.balancer.members.servers[name]
+    good = next(s for s in d.balancer.members.ready if s is not bad)
+    for s in (bad, good):
+        d.balancer.table.holds(d.now, s, 0.0, d.now)
+    rank = d.balancer.sampler._rank
+    assert min(rank(bad) for _ in range(50)) > max(rank(good) for _ in range(50))
+    fail_again = bad.bounced.at(d.now)
+    bad.bounced.clear()
+    assert fail_again == 1.0 and bad.bounced.at(d.now) == 0.0
+
+
+def test_fullness_told_by_a_server_that_answers_is_load_and_no_illness() -> None:
+    d = asking(servers=1)
+    sends = only(d.request()[1], Send) + only(d.wait(30 * MS), Send)
+    ended = 0
+    while sends and ended < 4:
+        ended += 1
+        sends = only(d.end(sends[0], Outcome.REJECTED, report=(9.0, 8.0, 1.0)) + d.wait(60 * MS), Send)
+    assert ended == 4
+    assert d.balancer.members.servers["s0"].out_until == 0
+
+
+def test_one_that_turns_away_and_reports_nothing_held_is_ill() -> None:
+    d = asking(servers=2)
+    for _ in range(40):
+        _, actions = d.request()
+        for s in only(actions, Send) + only(d.wait(5 * MS), Send):
+            d.end(s, Outcome.REJECTED if s.backend == "s0" else Outcome.OK, report=(0.0, 0.0, 0.0))
+    assert d.balancer.members.servers["s0"].out_until > 0
+
+
+@given(st.lists(st.integers(0, 10 * SECOND), max_size=20), st.integers(1, SECOND))
+def test_a_fading_weight_only_falls_until_something_is_added(waits: list[int], half: int) -> None:
+    f, now = Fading(), 0
+    for wait in waits:
+        now += wait
+        before = f.at(now)
+        assert 0.0 <= f.at(now + half) <= before
+        f.add(now, half)
+        assert f.at(now) == pytest.approx(before + 1.0)
+        assert f.at(now + half) == pytest.approx((before + 1.0) / 2)
+    f.clear()
+    assert f.at(now) == 0.0
+
+
+@given(st.floats(0, 100), st.floats(0, 100))
+def test_full_is_what_holds_at_least_what_the_others_hold(held: float, mean: float) -> None:
+    e = AttemptEnded(1, 0, "a", Outcome.REJECTED, 1, False, (held,))
+    assert tells_full(e, 0, mean) == (held >= max(1.5, mean))
+    assert not tells_full(e, -1, mean) and not tells_full(e, 1, mean)
+
+
+def test_no_request_is_refused_by_an_entry_that_nobody_has_asked_about() -> None:
+    d = asking(servers=2)
+    d.held = {}
+    d.serve(20)
+    for s in d.balancer.members.ready:
+        d.balancer.table.holds(d.now, s, 50.0)
+    d.wait(100 * MS)
+    _, actions = d.request()
+    assert {p.backend for p in only(actions, Probe)} and not only(actions, Refuse)
+
+
+def test_where_nothing_can_be_asked_an_idle_server_is_tried_again_within_a_bound() -> None:
+    d = Drive(servers=1, report_fields=REPORTS)
+    d.serve(20)
+    server = d.balancer.members.servers["s0"]
+    d.balancer.table.holds(d.now, server, 0.0)
+    for _ in range(40):
+        server.ghosts.add(d.now, 100 * SECOND)
+    assert not only(d.request()[1], Send)  # believed full
+    sent = only(d.wait(200 * MS), Send)
+    assert not sent
+    for _ in range(3):
+        sent += only(d.wait(30 * MS) + d.request()[1], Send)
+    assert len(sent) == 1  # one at a time
+
+
+# The slow start, and standing still
+
+
+def test_before_the_first_answer_only_a_window_goes_out() -> None:
+    d = Drive(servers=4, siblings=2)
+    sent = sum(len(only(d.request()[1], Send)) for _ in range(40))
+    assert sent == 6  # three at each of four servers, over two balancers
+
+
+def test_answers_open_the_window_and_then_it_is_gone() -> None:
+    s = SlowStart(siblings=2)
+    s.begin(0, 4)
+    now = 0
+    while s.wanted:
+        while s.admits(now, 4, 0.0, 0):
+            s.sent(now)
+        window = s.window
+        s.ended(now, answered=True)
+        assert s.window == window + 1.0
+        now += MS
+    assert s.admits(now, 4, 10 * MS, 0)
+
+
+def test_a_fleet_that_answers_nothing_closes_the_window_and_a_caller_that_stood_still_does_not() -> None:
+    s = SlowStart(siblings=1)
+    s.begin(0, 2)
+    for _ in range(40):
+        s.sent(0)
+        s.ended(0, answered=True)
+    for _ in range(50):
+        s.sent(0)
+    late = SECOND
+    assert s.admits(late, 2, 10 * MS, stood_at=late - MS)  # the silence was the caller's own
+    assert not s.admits(late, 2, 10 * MS, stood_at=0)
+
+
+def test_a_list_that_is_new_as_a_whole_begins_again() -> None:
+    d = Drive(servers=2)
+    d.serve(40)
+    d.list(*(Backend(f"n{i}") for i in range(3)), kind=ListKind.FULL)
+    assert sum(len(only(d.request()[1], Send)) for _ in range(40)) == 9
+
+
+def test_what_was_out_while_the_caller_stood_still_teaches_no_pace() -> None:
+    d = Drive(servers=4)
+    d.serve(60, 10 * MS)
+    typical, pace = d.balancer.table.typical, d.balancer.table.pace
+    sends = [s for _ in range(4) for s in only(d.request()[1], Send)]
+    d.now += 300 * MS  # no timer is handed in
+    for s in sends:
+        d.end(s, Outcome.OK, 300 * MS)
+    assert (d.balancer.table.typical, d.balancer.table.pace) == (typical, pace)
+    for s in only(d.request()[1], Send):  # one sent afterwards does
+        d.wait(20 * MS)
+        d.end(s, Outcome.OK, 20 * MS)
+    assert d.balancer.table.typical > typical
+
+
+# The hard cases, played
+
+
+def play(name: str, seed: int = 1) -> World:
+    return SCRIPTS[name].play(here(), seed)
+
+
+@pytest.mark.parametrize("name", [s.name for s in SCRIPTS.values() if s.blackout])
+def test_nobody_is_refused_beside_idle_servers_for_long(name: str) -> None:
+    w = play(name)
+    assert 10 * len(w.idle_refused) <= 100 and w.service() > 0.5
+    assert not [f for f in w.finals if f.status == "no answer"]
+
+
+def test_a_crashed_server_and_a_liar_draw_little() -> None:
+    assert play("crashed").service() > 0.9
+    assert play("liar").servers["s0"].drawn <= 30
+
+
+def test_the_agents_hold_nothing_when_all_is_over() -> None:
+    for name in ("cold_rush", "pause", "all_new"):
+        for agent in play(name).agents:
+            assert not agent.tries and not agent.balancer.attempts.requests
+            assert agent.balancer.attempts.start.out == 0
+
+
+def test_a_world_plays_the_same_twice() -> None:
+    one, other = play("cold_rush", 3), play("cold_rush", 3)
+    assert one.finals == other.finals
+
+
+def test_a_server_full_of_others_work_is_left_alone() -> None:
+    w = play("full_of_others")
+    assert w.service() > 0.95 and w.servers["s0"].drawn < max(s.drawn for s in w.servers.values())
+
+
+def test_a_large_list_is_served_from_the_start() -> None:
+    assert play("large").service() > 0.98
