--- a/brasshead/interface.py
+++ b/brasshead/interface.py
@@ -267,6 +267,19 @@
          | ProbeEnded | PeerMessage)
 
 
+@dataclass(slots=True, frozen=True)
+class ServerBelief:
+    """What a balancer holds true of one backend; nothing is decided by this view."""
+
+    backend: BackendId
+    open: int  # own attempts out
+    ghosts: float  # own attempts that have ended and may still run
+    others: float  # held for others
+    age_us: int  # of the latest report; -1: none has come
+    pace_us: float  # predicted time for each unit of load
+    admitted: bool  # health lets it be sampled
+
+
 # Actions: what Balancer.handle returns, to be carried out in order.
 
 
--- a/brasshead/logic/balancer.py
+++ b/brasshead/logic/balancer.py
@@ -6,7 +6,7 @@
 
 from ..interface import (
     Action, AttemptEnded, BackendsChanged, ClientGone, Event, PeerMessage, ProbeEnded, RequestArrived,
-    Settings, StreamStarted, TimerFired,
+    ServerBelief, Settings, StreamStarted, TimerFired,
 )
 from .admission import Admission
 from .asking import Asking
@@ -52,6 +52,13 @@
         handler(event)
         return self.core.actions
 
+    def beliefs(self, now: int) -> list[ServerBelief]:
+        """What is held true of each backend that may get new work, for those who explain refusals."""
+        return [ServerBelief(
+            s.id, len(s.open), s.ghosts.at(now), self.table.others(s, now),
+            now - s.heard_at if s.heard_at else -1, s.pace,
+            self.sampler.health.admits(s, now, self.table.typical)) for s in self.members.ready]
+
     def _listed(self, e: BackendsChanged) -> None:
         before = set(self.members.ready)
         if self.members.changed(e):
--- a/brasshead/logic/entities.py
+++ b/brasshead/logic/entities.py
@@ -14,7 +14,7 @@
     __slots__ = ("id", "zone", "cell", "hint", "state", "started_at", "open", "ghosts", "bounced",
                  "others", "heard_at", "latency", "load", "samples", "answered_at", "ended_at",
                  "failing", "streak", "out_until", "out_us", "allowance", "asked_at", "askers",
-                 "pace", "service", "news_at", "sent_at", "suspect_until")
+                 "pace", "service", "news_at", "sent_at")
 
     def __init__(self, b: Backend, now: int) -> None:
         self.id = b.id
@@ -40,7 +40,7 @@
         self.others = self.service = self.latency = self.load = self.failing = 0.0
         self.heard_at = self.answered_at = self.ended_at = self.samples = self.streak = 0
         self.out_until = self.out_us = self.allowance = 0  # allowance 0: no limit
-        self.sent_at = self.suspect_until = 0
+        self.sent_at = 0
 
 
 class Request:
--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -8,12 +8,14 @@
 import sys
 import tempfile
 from collections.abc import Coroutine
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
 from . import plan_file, report, scenario_file
 from .agents import AgentError
 from .compare import compare
+from .models import explained
 from .models.plan import Plan
 from .result import table
 from .run import RunError, play, serve
@@ -25,6 +27,7 @@
   python -m emulator run bad_afternoon --report out.html --seed 7
   python -m emulator run my.toml --json > a.json
   python -m emulator serve
+  python -m emulator run cold_rush --record runs && python -m emulator explain runs
   python -m emulator compare a.json b.json
 
 Exit status: 0 if every rule was kept, 1 if one was broken, 2 for a scenario or file that cannot be used, 3 for a run
@@ -48,6 +51,10 @@
     again.add_argument("--seed", type=int, default=1)
     again.add_argument("--report", metavar="FILE", help="write an HTML page with plots")
     again.add_argument("--json", action="store_true", help="the result as one JSON line, for programs")
+    explain = commands.add_parser("explain", help="why requests were refused in a run played with --record")
+    explain.add_argument("folder", help="where --record wrote")
+    explain.add_argument("--top", type=int, default=8, help="servers shown for each wave, worst first (8)")
+    explain.add_argument("--json", action="store_true", help="one JSON line, for programs")
     check = commands.add_parser("check", help="check a scenario without playing it")
     check.add_argument("scenario")
     serve_ = commands.add_parser("serve", help="keep a fleet and one agent up, to try by hand")
@@ -74,6 +81,15 @@
         return _play(arguments, str(path), plan, None)
 
 
+def _explain(arguments: argparse.Namespace) -> int:
+    waves = plan_file.explain_run(Path(arguments.folder))
+    if arguments.json:
+        print(json.dumps([asdict(w) for w in waves]))
+    else:
+        print(explained.table(waves, arguments.top))
+    return 0
+
+
 def _play(arguments: argparse.Namespace, path: str, plan: Plan, record: Path | None) -> int:
     if arguments.report and not Path(arguments.report).parent.is_dir():
         raise scenario_file.ScenarioError(f"--report {arguments.report}: its folder does not exist")
@@ -124,6 +140,8 @@
     try:
         if arguments.command == "run":
             return _run(arguments)
+        if arguments.command == "explain":
+            return _explain(arguments)
         if arguments.command == "replay":
             return _replay(arguments)
         if arguments.command == "serve":
--- a/emulator/agents.py
+++ b/emulator/agents.py
@@ -51,6 +51,11 @@
     port: int
     log: list[str] = field(default_factory=list)
 
+    def stand_still(self, still: bool) -> None:
+        """Take the CPU from it, as a platform does that enforces a limit, or give it back."""
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGSTOP if still else signal.SIGCONT)
+
     def figures(self) -> dict[str, float]:
         """CPU seconds, resident memory in MB and descriptors; empty once it has ended."""
         pid = self.process.pid
@@ -91,7 +96,8 @@
     env = {**os.environ, "RELAY_CONFIG": str(config)}
     if record is not None:
         operator = folder / f"n{number}.toml"
-        operator.write_text(f"[recorder]\npath = {json.dumps(str((record / f'n{number}.rec').absolute()))}\n")
+        operator.write_text(f"[recorder]\nbeliefs_ms = 5\n"
+                            f"path = {json.dumps(str((record / f'n{number}.rec').absolute()))}\n")
         env["LILACSILL_OPERATOR"] = str(operator)
     # A group of its own: Ctrl-C reaches the emulator, which then ends the agents in order.
     process = await asyncio.create_subprocess_exec(
--- a/emulator/models/plan.py
+++ b/emulator/models/plan.py
@@ -14,7 +14,7 @@
 SECOND = 1_000_000
 RESTART_S = (1.0, 3.0)  # a process that died comes back after so long, at the least
 DEFAULT_SIZE = {"death": 6.0, "deploy": 2.0, "pauses": 0.2, "neighbour": 0.5, "heavy_tail": 10.0, "flood": 5.0,
-                "reconnect_storm": 300.0}
+                "reconnect_storm": 300.0, "agent_pause": 0.15}
 
 
 @dataclass(slots=True)
@@ -74,6 +74,7 @@
     outages: list[Window] = field(default_factory=list)  # of discovery
     resets: list[Window] = field(default_factory=list)
     spoilt: list[Window] = field(default_factory=list)
+    agent_pauses: list[tuple[int, int]] = field(default_factory=list)  # from when to when they get no CPU
     storms: list[tuple[int, int, int]] = field(default_factory=list)  # start, end, connections a second
     events: list[tuple[int, str]] = field(default_factory=list)  # for the report
 
@@ -135,6 +136,8 @@
             plan.resets.append(Window(start, end, t.part))
         elif t.kind == "spoilt":
             plan.spoilt.append(Window(start, end, t.part))
+        elif t.kind == "agent_pause":
+            plan.agent_pauses.append((start, start + int(size * SECOND)))
         elif t.kind == "reconnect_storm":
             plan.storms.append((start, end, int(size)))
         # A flood and a heavy tail change the arrivals, which are drawn later.
--- a/emulator/models/scenario.py
+++ b/emulator/models/scenario.py
@@ -14,7 +14,7 @@
 Range = tuple[Annotated[float, Meta(ge=0)], Annotated[float, Meta(ge=0)]]
 
 KINDS = ("death", "deploy", "pauses", "neighbour", "heavy_tail", "discovery_outage", "flood", "reconnect_storm",
-         "vanish", "resets", "spoilt")
+         "vanish", "resets", "spoilt", "agent_pause")
 
 
 class Section(msgspec.Struct, forbid_unknown_fields=True):
@@ -81,7 +81,7 @@
     operators' page has the table."""
 
     kind: Literal["death", "deploy", "pauses", "neighbour", "heavy_tail", "discovery_outage", "flood",
-                  "reconnect_storm", "vanish", "resets", "spoilt"]
+                  "reconnect_storm", "vanish", "resets", "spoilt", "agent_pause"]
     at_s: Seconds
     len_s: Seconds = 5.0
     part: Part = 0.25  # of the servers; of the answers for resets and spoilt; of one class for heavy_tail
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from . import agents as agents_
+from .plan_file import BOOK
 from .models.judge import AttemptBook, Books, Limits, TellingBook, judge
 from .models.plan import Plan
 from .models.scenario import Scenario
@@ -80,7 +81,7 @@
             for number, port in enumerate(fleet.ports["discovery"]):
                 started.append(await agents_.start(scenario, number, port, fleet.ports["known"], Path(folder),
                                                    record))
-            return await _drive(plan, fleet, started, pools, progress)
+            return await _drive(plan, fleet, started, pools, progress, record)
         finally:
             for pool in pools:
                 pool.close()
@@ -126,7 +127,7 @@
 
 
 async def _drive(plan: Plan, fleet: Fleet, agents: list[agents_.Agent], pools: list[Pool],
-                 progress: Callable[[str], None]) -> Result:
+                 progress: Callable[[str], None], record: Path | None) -> Result:
     loop = asyncio.get_running_loop()
     t0 = int(loop.time() * 1e6) + LEAD_US
 
@@ -150,13 +151,18 @@
 
     storms = [asyncio.create_task(storm(a.port, start, end, max(1, rate // len(agents)), now))
               for a in agents for start, end, rate in plan.storms]
+    pauses = [asyncio.create_task(_pause(agents, start, end, now)) for start, end in plan.agent_pauses]
     cpu = time.process_time()
     await clients.run(tell)
-    await asyncio.gather(*storms)
+    await asyncio.gather(*storms, *pauses)
     await asyncio.sleep(SETTLE_S)
     figures = [a.figures() for a in agents]
     ended = [a.process.returncode for a in agents]
     raw = await fleet.books()
+    if record is not None:
+        # The servers' own book beside the agents' recordings, on the wall clock.
+        (record / BOOK).write_text(json.dumps({
+            "t0_unix_us": time.time_ns() // 1000 - now(), "attempts": raw["attempts"]}))
     books = Books([AttemptBook(**a) for a in raw["attempts"]], clients.books,
                   [TellingBook(**t) for t in raw["tellings"]], [(at, who) for at, who in raw["fallen"]])
     breaches = judge(books, Limits(memory_us=plan.spec.memory_us))
@@ -168,6 +174,17 @@
         "agent_log": [line for a in agents for line in a.log][:200]}, void)
 
 
+async def _pause(agents: list[agents_.Agent], start: int, end: int, now: Callable[[], int]) -> None:
+    await asyncio.sleep(max(0, start - now()) / 1e6)
+    try:
+        for a in agents:
+            a.stand_still(True)
+        await asyncio.sleep(max(0, end - now()) / 1e6)
+    finally:
+        for a in agents:
+            a.stand_still(False)
+
+
 def _void(raw: dict[str, Any], late_us: list[int], ended: list[int | None]) -> list[str]:
     """Why the run says nothing of the agents."""
     found = [f"the fleet failed: {f}" for f in raw["faults"]]
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -76,6 +76,10 @@
         """Learn of backends there from now on."""
         self._discovery.move(discovery, self._listed)
 
+    def beliefs(self) -> list[q.ServerBelief]:
+        """What the module holds true of the backends now."""
+        return self._balancer.beliefs(self._clock.now())
+
     # The application's side
 
     def handle(self, call: DownstreamRequest) -> None:
--- a/lilacsill/operator/sections.py
+++ b/lilacsill/operator/sections.py
@@ -52,6 +52,7 @@
 
     path: str = ""
     max_mb: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 64
+    beliefs_ms: Annotated[int, msgspec.Meta(ge=0, le=3_600_000)] = 0
 
 
 class OperatorFile(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
--- a/lilacsill/recorder/format.py
+++ b/lilacsill/recorder/format.py
@@ -8,12 +8,14 @@
 import json
 from typing import Any
 
-FORMAT, VERSION = "lilacsill-recording", 1
+FORMAT, VERSION = "lilacsill-recording", 2
+READS = (1, VERSION)  # 1 has no beliefs
 
 REQUEST = "q"  # time, number, class, tenant, patience in ms, whether it is a client's retry
 ATTEMPT = "a"  # time of its end, request, attempt, backend, outcome, latency in us, report
 FINAL = "f"  # time, request, status
 LISTING = "l"  # time, revision, whole list, [[backend, state, started]] with started in ms of Unix time, 0: long ago
+BELIEF = "b"  # time, [[backend, own out, ghosts, others, age of the report in ms (-1: none), pace in ms, admitted]]
 
 
 class RecordingError(Exception):
@@ -40,7 +42,7 @@
             raise RecordingError(f"{name}:{number}: no JSON") from None
     if not values or not isinstance(values[0], dict) or values[0].get("format") != FORMAT:
         raise RecordingError(f"{name}: no recording of an agent")
-    if values[0].get("version") != VERSION:
+    if values[0].get("version") not in READS:
         raise RecordingError(f"{name}: version {values[0].get('version')}; this program reads version {VERSION}")
     for number, value in enumerate(values[1:], 2):
         if not isinstance(value, list) or len(value) < 3 or not isinstance(value[1], int):
--- a/lilacsill/recorder/ring.py
+++ b/lilacsill/recorder/ring.py
@@ -4,11 +4,12 @@
 import logging
 import os
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 from typing import BinaryIO
 
-from brasshead.interface import BackendId, Outcome, Settings
+from brasshead.interface import BackendId, Outcome, ServerBelief, Settings
 
 from ..clock import Clock
 from ..discovery.listing import Listing
@@ -19,12 +20,17 @@
 
 BUFFER = 64 * 1024  # written when so much has gathered, or
 EVERY_US = 1_000_000  # after so long
+REFUSED = 503
 
 
 class Recorder:
     """The agent's observer. A disk that fails ends the recording with one line in the log, nothing else."""
 
-    def __init__(self, path: str, max_bytes: int, name: str, settings: Settings, clock: Clock) -> None:
+    def __init__(self, path: str, max_bytes: int, name: str, settings: Settings, clock: Clock,
+                 beliefs: Callable[[], list[ServerBelief]] | None = None, beliefs_every_us: int = 0) -> None:
+        """`beliefs` is asked at refusals, at most every `beliefs_every_us`; 0: never."""
+        self._beliefs, self._beliefs_every_us = beliefs, beliefs_every_us
+        self._believed_at = -beliefs_every_us
         self._path, self._half = Path(path), max_bytes // 2
         self._clock = clock
         self._began = clock.now()
@@ -48,6 +54,14 @@
 
     def answered(self, number: int, status: int) -> None:
         self._add([form.FINAL, self._now(), number, status])
+        now = self._now()
+        due = now - self._believed_at >= self._beliefs_every_us > 0
+        if status == REFUSED and due and self._beliefs is not None:
+            self._believed_at = now
+            self._add([form.BELIEF, now, [
+                [str(b.backend), b.open, round(b.ghosts, 2), round(b.others, 2),
+                 b.age_us // 1000 if b.age_us >= 0 else -1, round(b.pace_us / 1000, 2), int(b.admitted)]
+                for b in self._beliefs()]])
 
     def listed(self, listing: Listing) -> None:
         self._add([form.LISTING, self._now(), listing.revision, listing.complete,
--- a/lilacsill/run.py
+++ b/lilacsill/run.py
@@ -130,7 +130,8 @@
     from .recorder.ring import Recorder
 
     section = options.operator.recorder
-    recorder = Recorder(section.path, section.max_mb * 2**20, config.name, config.settings, clock)
+    recorder = Recorder(section.path, section.max_mb * 2**20, config.name, config.settings, clock, agent.beliefs,
+                        section.beliefs_ms * 1000)
     agent.observer = recorder
     return recorder
 
--- a/tests/test_admission_storm.py
+++ b/tests/test_admission_storm.py
@@ -92,7 +92,7 @@
 
 def test_a_known_client_gets_in_while_all_strangers_have_requests_in_hand(tmp_path: Path) -> None:
     async def run() -> None:
-        async with world(tmp_path, backends=4, budget=TWENTY, admission=LISTED) as w:  # whose slow start lets nine out
+        async with world(tmp_path, backends=4, budget=TWENTY, admission=LISTED) as w:  # four: nine may go out
             held = []
             for source in strangers(20):
                 sock = await connect(w.port, source)
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -74,7 +74,7 @@
 
 @pytest.mark.parametrize("data, why", [
     (b"", "no recording"), (b"{}\n", "no recording"), (b"[]\n", "no recording"), (b"\xff\n", "n0:1: no JSON"),
-    (HEAD.replace(b'"version":1', b'"version":2'), "version 2; this program reads version 1"),
+    (HEAD.replace(b'"version":2', b'"version":3'), "version 3; this program reads version 2"),
     (HEAD + b"{\n", "n0:2: no JSON"), (HEAD + b"[]\n", "n0:2: no event"),
     (HEAD + b'["q","soon",1]\n', "n0:2: no event"),
 ])
