Emulator: the judge holds agents to asking discovery in time

Who neither watches nor asks for ask_within counts as told of every drain, and the judge took the agent's last telling for all there was: an agent that stopped asking could not break the rule. Discovery now books each call, tries that fail too, and what became known in a longer silence counts as told when it ended its time.

--- a/emulator/models/judge.py
+++ b/emulator/models/judge.py
@@ -53,11 +53,22 @@
     at: int
 
 
+@dataclass(slots=True)
+class AskBook:
+    """An agent asked discovery, or tried to; a watch is asking for as long as it waits."""
+
+    agent: int
+    began: int
+    ended: int | None = None  # None: still under way when the run ended
+
+
 @dataclass(slots=True)
 class Books:
     attempts: list[AttemptBook] = field(default_factory=list)
     requests: list[RequestBook] = field(default_factory=list)
     tellings: list[TellingBook] = field(default_factory=list)
+    asks: list[AskBook] = field(default_factory=list)
+    leaving: list[tuple[int, str]] = field(default_factory=list)  # when discovery knew that which server drains or goes
     fallen: list[tuple[int, str]] = field(default_factory=list)  # when, which server
 
 
@@ -74,6 +85,7 @@
 class Limits:
     drain_grace_us: int = 500_000
     memory_us: int = 15_000_000
+    ask_within_us: int = 10_000_000  # who does not ask for so long counts as told
 
 
 def judge(books: Books, limits: Limits) -> list[Breach]:
@@ -146,9 +158,32 @@
     return [("dup", f"{len(attempts)} attempts, 5 are allowed")] if len(attempts) > 5 else []
 
 
+def unasked(books: Books, limits: Limits) -> list[TellingBook]:
+    """What agents count as told because they had neither watched nor asked for as long as they may."""
+    found = []
+    for agent in {a.agent for a in books.asks}:
+        until = 0  # it has asked, or was asking, up to here
+        for ask in sorted((a for a in books.asks if a.agent == agent), key=lambda a: a.began):
+            found += _in_silence(agent, until, ask.began, books, limits)
+            if ask.ended is None:
+                break
+            until = max(until, ask.ended)
+        else:
+            found += _in_silence(agent, until, None, books, limits)
+    return found
+
+
+def _in_silence(agent: int, since: int, until: int | None, books: Books, limits: Limits) -> list[TellingBook]:
+    overdue = since + limits.ask_within_us + SLACK_US
+    if until is not None and until <= overdue:
+        return []
+    return [TellingBook(agent, server, max(at, overdue)) for at, server in books.leaving
+            if until is None or max(at, overdue) < until]
+
+
 def _drains(books: Books, limits: Limits) -> list[Breach]:
     told: dict[tuple[int, str], int] = {}
-    for t in books.tellings:
+    for t in [*books.tellings, *unasked(books, limits)]:
         key = (t.agent, t.server)
         told[key] = min(t.at, told.get(key, t.at))
     found = []
--- a/emulator/models/plan.py
+++ b/emulator/models/plan.py
@@ -78,6 +78,11 @@
     storms: list[tuple[int, int, int]] = field(default_factory=list)  # start, end, connections a second
     events: list[tuple[int, str]] = field(default_factory=list)  # for the report
 
+    def leaving(self) -> list[tuple[int, str]]:
+        """When discovery knows of which process that it drains or is gone; processes as the judge names them."""
+        return [(n.at, f"{self.incarnations[n.incarnation].id}#{n.incarnation}") for n in self.notices
+                if n.phase != "SERVING"]
+
     @property
     def length_us(self) -> int:
         return int(self.scenario.length_s * SECOND)
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -14,7 +14,7 @@
 
 from . import agents as agents_
 from .plan_file import BOOK
-from .models.judge import AttemptBook, Books, Limits, TellingBook, judge
+from .models.judge import AskBook, AttemptBook, Books, Limits, TellingBook, judge
 from .models.plan import Plan
 from .models.scenario import Scenario
 from .result import Result, summarize
@@ -164,7 +164,8 @@
         (record / BOOK).write_text(json.dumps({
             "t0_unix_us": time.time_ns() // 1000 - now(), "attempts": raw["attempts"]}))
     books = Books([AttemptBook(**a) for a in raw["attempts"]], clients.books,
-                  [TellingBook(**t) for t in raw["tellings"]], [(at, who) for at, who in raw["fallen"]])
+                  [TellingBook(**t) for t in raw["tellings"]], [AskBook(**a) for a in raw["asks"]],
+                  plan.leaving(), [(at, who) for at, who in raw["fallen"]])
     breaches = judge(books, Limits(memory_us=plan.spec.memory_us))
     void = _void(raw, clients.late_us, ended)
     return summarize(plan, clients.outcomes, books, breaches, {
--- a/emulator/sockets/catalog.py
+++ b/emulator/sockets/catalog.py
@@ -9,7 +9,7 @@
 
 from httptools import HttpParserError, HttpRequestParser
 
-from ..models.judge import TellingBook
+from ..models.judge import AskBook, TellingBook
 from ..models.plan import Notice, Plan
 
 CALL_LINES = 20  # fixed cost of a call
@@ -24,6 +24,7 @@
                  tellings: list[TellingBook]) -> None:
         self.plan, self.now, self._ports, self._unix_ms = plan, now, ports, unix_ms
         self.tellings = tellings
+        self.asks: list[AskBook] = []
         self._free = 0  # when the next call can be worked on
         self._changed = asyncio.Condition()
         self.revision = 0
@@ -118,6 +119,8 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         if self._catalog.down():
+            now = self._catalog.now()
+            self._catalog.asks.append(AskBook(self._agent, now, now))  # it has tried
             transport.abort()
             return
         self._catalog.links.add(self)
@@ -147,6 +150,14 @@
         self._task = asyncio.get_running_loop().create_task(self._answer(self._url.decode("latin-1")))
 
     async def _answer(self, url: str) -> None:
+        ask = AskBook(self._agent, self._catalog.now())
+        self._catalog.asks.append(ask)
+        try:
+            await self._tell(url)
+        finally:
+            ask.ended = self._catalog.now()
+
+    async def _tell(self, url: str) -> None:
         assert self._transport is not None
         catalog = self._catalog
         query = parse_qs(url.partition("?")[2])
--- a/emulator/sockets/fleet.py
+++ b/emulator/sockets/fleet.py
@@ -106,6 +106,7 @@
             await order(shells, line.decode().split())
         except (ValueError, IndexError) as e:
             print(f"fleet: {line.decode().strip()}: {e}", file=sys.stderr)
+    asks = [asdict(a) for a in catalog.asks]  # with the watches that still wait
     for task in tasks:
         task.cancel()
     for shell in shells:
@@ -113,7 +114,7 @@
         shell.kill()
     failed = [t.exception() for t in tasks if t.done() and not t.cancelled() and t.exception() is not None]
     print(json.dumps({"attempts": [asdict(a) for a in attempts], "tellings": [asdict(t) for t in tellings],
-                      "fallen": fallen, "delays_us": sorted(delays)[::max(1, len(delays) // 2000)],
+                      "asks": asks, "fallen": fallen, "delays_us": sorted(delays)[::max(1, len(delays) // 2000)],
                       "lags_us": sorted(lags)[::max(1, len(lags) // 2000)], "cpu_s": time.process_time(),
                       "faults": [repr(e) for e in failed]}), flush=True)
     return 0
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -11,6 +11,7 @@
 from brasshead.interface import ServerBelief, Settings
 from emulator.__main__ import main
 from emulator.lab.module import ModuleError, at_commit
+from emulator.models.judge import AskBook, Books, Limits, unasked
 from emulator.models.explained import Book, explain, table
 from emulator.models.plan import make_plan
 from emulator.models.scenario import Scenario, Trouble
@@ -107,3 +108,20 @@
 def test_a_control_that_is_not_there_is_told_plainly(tmp_path: Path) -> None:
     with pytest.raises(ModuleError, match="nosuchcommit"):
         at_commit("nosuchcommit", Path(__file__).parent, tmp_path)
+
+
+# The judge holds an agent to asking discovery in time
+
+
+@pytest.mark.parametrize("asks, told", [
+    ([(0, 400), (410, None)], []),  # a watch that still waits
+    ([(0, 400), (900, 950), (1300, None)], []),  # never silent for long enough
+    ([(0, 100), (800, None)], [650]),  # silent from 100 on: told at 600 and the slack, or when it is known
+    ([(0, 100)], [650, 1500]),  # silent to the end
+    ([(0, 100), (590, 590), (1060, None)], []),  # a try counts, also one that fails
+])
+def test_who_does_not_ask_in_time_counts_as_told(asks: list[tuple[int, int | None]], told: list[int]) -> None:
+    books = Books([], [], asks=[AskBook(0, a * MS, None if b is None else b * MS) for a, b in asks],
+                  leaving=[(300 * MS, "s#0"), (1500 * MS, "s#1")])
+    found = unasked(books, Limits(ask_within_us=500 * MS))
+    assert sorted(t.at for t in found) == [at * MS for at in told]
