Emulator: connects to a machine that vanished never come up

A vanished server went on accepting: its listener stood, and the agent's connect succeeded where on a dead machine it runs into its time-out. Its listener now stops accepting on a full queue, so that connects hang as they do there.

--- a/emulator/sockets/jobserver.py
+++ b/emulator/sockets/jobserver.py
@@ -14,6 +14,7 @@
 from ..models.server import FOREVER, Job, JobServer, RepeatMemory
 
 BACKLOG = 512
+FILLERS = 3  # connects that fill a queue of none
 SPOILT = b"HTTP/1.1 2x0 \xff\r\nContent-Length: x\r\n\r\n"
 Now = Callable[[], int]  # microseconds since the run began
 
@@ -100,6 +101,8 @@
         self.connections: set[Connection] = set()
         self.silent = False
         self._listener: asyncio.Server | None = None
+        self._sock: socket.socket | None = None  # the listener's
+        self._fillers: list[socket.socket] = []
         self._model: JobServer | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._owners: dict[int, Connection] = {}  # by id() of the job
@@ -117,6 +120,7 @@
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(self._address)
+        self._sock = sock
         self._listener = await asyncio.get_running_loop().create_server(
             lambda: Connection(self), sock=sock, backlog=BACKLOG)
         self._close_idle()
@@ -125,7 +129,10 @@
         """The process ends: its connections are reset, new ones refused. Or it says nothing more."""
         if self.what.vanishes and self._listener is not None and not self.silent:
             self.silent = True
+            self._stop_accepting()
             return
+        for filler in self._fillers:
+            filler.close()
         if self._timer is not None:
             self._timer.cancel()
         if self._listener is not None:
@@ -135,6 +142,17 @@
             assert c.transport is not None
             c.transport.abort()
 
+    def _stop_accepting(self) -> None:
+        """Connects never come up: nobody accepts, and the queue of those that wait for it is full."""
+        assert self._sock is not None
+        asyncio.get_running_loop().remove_reader(self._sock.fileno())
+        self._sock.listen(0)
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self._address)
+            self._fillers.append(filler)
+
     def kill(self) -> None:
         """At the end of the run, whatever it is."""
         self.silent = True
--- a/tests/test_emulator_sockets.py
+++ b/tests/test_emulator_sockets.py
@@ -221,6 +221,25 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_connects_to_a_machine_that_vanished_never_come_up() -> None:
+    async def run() -> None:
+        s = Server(plan_with([Incarnation("a", 0, 0, -1, vanishes=True)]))
+        await s.shell.start()
+        await s.client()
+        s.shell.stop()
+        late = [asyncio.ensure_future(s.client()) for _ in range(4)]
+        done, waiting = await asyncio.wait(late, timeout=0.3)
+        # What the queue still took has no one who accepts it; most find it full. Nobody is told a thing.
+        assert len(waiting) >= 3 and all(d.exception() is None for d in done)
+        for task in waiting:
+            task.cancel()
+        s.shell.kill()
+        with pytest.raises(OSError):
+            await s.client()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
 def test_a_cold_server_that_is_pushed_over_stays_down() -> None:
     async def run() -> None:
         plan = plan_with([Incarnation("a", 0, 0, -1, cold=True)], queue=10_000)
