Health: one on trial that refuses a probe's connection is out again without an attempt

An echo is no proof that a process works, and was ignored by health altogether; a connection refused is proof that it does not. A server that has been excluded and is on trial is now excluded again on that.

--- a/brasshead/logic/asking.py
+++ b/brasshead/logic/asking.py
@@ -52,6 +52,7 @@
         s = self.members.servers.get(e.backend)
         if s is None:
             return
+        self.sampler.health.echoed(s, self.core.now, e.outcome)
         asked_at, s.asked_at, askers, s.askers = s.asked_at, 0, s.askers, []
         heard = e.outcome is Outcome.OK and 0 <= self.table.column < len(e.report)
         if heard:
--- a/brasshead/logic/health.py
+++ b/brasshead/logic/health.py
@@ -55,6 +55,12 @@
             if at_once or s.streak >= 3 or (s.streak >= 2 and s.failing > 0.3):
                 self.exclude(s, now, outcome.value)
 
+    def echoed(self, s: Server, now: int, outcome: Outcome) -> None:
+        """An echo is no proof that a process works, but no connection is proof that it does not: one on trial
+        is spared the attempt."""
+        if outcome is Outcome.CONNECT_FAILED and s.allowance:
+            self.exclude(s, now, outcome.value)
+
     def exclude(self, s: Server, now: int, why: str) -> None:
         if s.out_until > now:
             return
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -175,6 +175,19 @@
     assert len(sent) == 1  # one at a time
 
 
+def test_one_on_trial_that_refuses_a_probe_is_out_again_without_an_attempt() -> None:
+    d = asking(servers=2)
+    name = fail(d, Outcome.CONNECT_FAILED)
+    server = d.balancer.members.servers[name]
+    first = server.out_until
+    assert first > d.now
+    d.wait(first - d.now + MS)
+    d.event(ProbeEnded(name, Outcome.TIMEOUT, 50 * MS))  # silence proves nothing
+    assert server.out_until == first
+    d.event(ProbeEnded(name, Outcome.CONNECT_FAILED, MS))
+    assert server.out_until > d.now and server.out_us > 500 * MS
+
+
 # The slow start, and standing still
 
 
