Overdue answers are asked about only while a repeat could still be in time

On the simulator two typical latencies leave no time for a repeat, so that the probes were for nothing.

--- a/brasshead/logic/attempts.py
+++ b/brasshead/logic/attempts.py
@@ -55,24 +55,26 @@
     def _beats(self) -> bool:
         self._beating = self.start.out > 0
         # The oldest in hand: is their answer late, or will it never come?
-        before = self.core.now - int(OVERDUE * self.table.typical)
         for r in islice(self.requests.values(), LOOKS):
             for s, sent, _ in r.out.values():
-                if sent < before and r.cls.effect is not Effect.UNSAFE:
+                if self._hangs(r, sent):
                     self.look_again(s)
         return self._beating
 
+    def _hangs(self, r: Request, sent: int) -> bool:
+        """Whether an attempt is overdue, and another one could still be made in its place."""
+        typical, now = self.table.typical, self.core.now
+        return (now - sent > OVERDUE * typical > 0 and now + typical < r.aim_at and not r.done
+                and r.cls.effect is not Effect.UNSAFE and self.core.settings.can_cancel)
+
     def missing(self, s: Server, held: float, asked_at: int) -> None:
         """A server that holds fewer than are out to it has ended one without an answer that could be read.
         That attempt costs nothing any more, and what may be repeated is tried elsewhere."""
-        typical, now = self.table.typical, self.core.now
-        if not typical or held > len(s.open) - SURE or asked_at < s.sent_at + UNDER_WAY_US or not s.open:
+        if held > len(s.open) - SURE or asked_at < s.sent_at + UNDER_WAY_US or not s.open:
             return
         (number, attempt), sent = next(iter(s.open.items()))
         r = self.requests.get(number)
-        if r is None or r.done or r.cls.effect is Effect.UNSAFE or not self.core.settings.can_cancel:
-            return
-        if now - sent > OVERDUE * typical and now + typical < r.aim_at:
+        if r is not None and self._hangs(r, sent):
             self.core.actions.append(Cancel(number, attempt))
 
     def _overdue(self, what: tuple[Request, int]) -> None:
