--- a/emulator/lab/agent.py
+++ b/emulator/lab/agent.py
@@ -214,7 +214,8 @@
         def deliver(s: Server) -> None:
             if s.faults.refuses_connects:
                 return world.after(NET_US, lambda: exchange.end("reset", ()))
-            if s.faults.probes in ("refused", "capped"):
+            capped = s.faults.probes == "capped" and self.rng.random() < 0.5
+            if s.faults.probes == "refused" or capped:
                 return world.after(NET_US, lambda: exchange.end("rejected", ()))
             late = 40 * MS if s.faults.probes == "late" else 0
             world.after(late, lambda: world.after(NET_US, partial(exchange.end, "ok", world.report(s))))
--- a/emulator/lab/scripts.py
+++ b/emulator/lab/scripts.py
@@ -101,6 +101,7 @@
            replace(BASE, report_lag_us=200 * MS), _turn_away(1.0, 0.3), True),
     Script("probes_refused", "the same as turned_away, and no probe is answered", BASE, _probes("refused"), True),
     Script("probes_late", "the same, and probes come back after 40 ms", BASE, _probes("late"), True),
+    Script("probes_capped", "the same, and every second probe is turned away", BASE, _probes("capped"), True),
     Script("crashed", "one process refuses every connection", BASE, _crash),
     Script("liar", "one server turns everything away for ever and reports nothing held", BASE, _liar),
     Script("full_of_others", "one server is full of work that is not ours", BASE, _full_of_others),
--- a/emulator/lab/world.py
+++ b/emulator/lab/world.py
@@ -32,7 +32,7 @@
     refuses_connects: bool = False  # and breaks what is open
     resets: float = 0.0  # share of attempts whose connection breaks when they have come
     hangs: float = 0.0  # share of answers that never come
-    probes: str = ""  # "refused", "late", "capped"
+    probes: str = ""  # "refused", "late", "capped": every second one
 
 
 @dataclass(slots=True, frozen=True)
