--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -15,15 +15,15 @@
 from .standins import members
 
 
-def settings() -> dict[str, Any]:
-    """The platform's settings, with probes allowed as there."""
+def settings(probes: bool = True) -> dict[str, Any]:
+    """The platform's settings."""
     def profile(name: str, repeat: str, value: float) -> dict[str, Any]:
         return {"name": name, "aimUs": 300_000, "deadlineUs": 750_000, "repeat": repeat, "dedupScope": "all",
                 "memorySpanUs": 15_000_000, "value": value}
 
     return {
         "allowed": {"cancel": True, "connIdleUs": 5_000_000, "connectTimeoutUs": 250_000, "maxAttempts": 5,
-                    "peers": False, "probes": True, "retryAfter": True, "maxRetryAfterUs": 2_000_000,
+                    "peers": False, "probes": probes, "retryAfter": True, "maxRetryAfterUs": 2_000_000,
                     "secondCopies": False},
         "profiles": [profile("registro-servicio", "dedup", 10.0), profile("vale-almacen", "fragile", 3.0)],
         "tenants": [{"name": "norvalle", "quotaPerS": 0.0, "share": 1.0}],
@@ -70,20 +70,21 @@
 
 
 @asynccontextmanager
-async def agent(folder: Path, ports: dict[str, Any], sockets: int, operator: str | None = None
-                ) -> AsyncIterator[AgentProcess]:
-    """The agent as the deployment starts it, under a limit of descriptors."""
+async def agent(folder: Path, ports: dict[str, Any], sockets: int, operator: str | None = None, probes: bool = True,
+                sample: Path | None = None) -> AsyncIterator[AgentProcess]:
+    """The agent as the deployment starts it, under a limit of descriptors. `sample`: where the counts of a sampler
+    go, which runs in it then."""
     config = folder / "config.json"
     config.write_text(json.dumps({
         "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{ports['discovery']}", "seed": "8c1f",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "settings": settings(),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "settings": settings(probes),
         "known": members(ports["backends"])}))
-    arguments: list[str] = []
+    arguments = ["lilacsill"] if sample is None else ["benchmarks.sampled", str(sample)]
     if operator is not None:
         (folder / "operator.toml").write_text(operator)
-        arguments = ["--operator", str(folder / "operator.toml")]
+        arguments += ["--operator", str(folder / "operator.toml")]
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "lilacsill", *arguments, stderr=asyncio.subprocess.PIPE,
+        sys.executable, "-m", *arguments, stderr=asyncio.subprocess.PIPE,
         env={**os.environ, "RELAY_CONFIG": str(config)})
     assert process.stderr is not None
     log: list[str] = []
