--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -15,10 +15,10 @@
 from .standins import members
 
 
-def settings(probes: bool = True) -> dict[str, Any]:
+def settings(probes: bool = True, aim_us: int = 300_000, deadline_us: int = 750_000) -> dict[str, Any]:
     """The platform's settings."""
     def profile(name: str, repeat: str, value: float) -> dict[str, Any]:
-        return {"name": name, "aimUs": 300_000, "deadlineUs": 750_000, "repeat": repeat, "dedupScope": "all",
+        return {"name": name, "aimUs": aim_us, "deadlineUs": deadline_us, "repeat": repeat, "dedupScope": "all",
                 "memorySpanUs": 15_000_000, "value": value}
 
     return {
@@ -70,21 +70,22 @@
 
 
 @asynccontextmanager
-async def agent(folder: Path, ports: dict[str, Any], sockets: int, operator: str | None = None, probes: bool = True,
-                sample: Path | None = None) -> AsyncIterator[AgentProcess]:
-    """The agent as the deployment starts it, under a limit of descriptors. `sample`: where the counts of a sampler
-    go, which runs in it then."""
+async def agent(folder: Path, ports: dict[str, Any], sockets: int, operator: str | None = None,
+                facts: dict[str, Any] | None = None, sample: Path | None = None, tree: Path | None = None
+                ) -> AsyncIterator[AgentProcess]:
+    """The agent as the deployment starts it, under a limit of descriptors. `facts`: the settings, where they are not
+    the usual ones; `sample`: where the counts of a sampler go, which runs in it then; `tree`: another checkout."""
     config = folder / "config.json"
     config.write_text(json.dumps({
         "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{ports['discovery']}", "seed": "8c1f",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "settings": settings(probes),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "settings": facts or settings(),
         "known": members(ports["backends"])}))
     arguments = ["lilacsill"] if sample is None else ["benchmarks.sampled", str(sample)]
     if operator is not None:
         (folder / "operator.toml").write_text(operator)
         arguments += ["--operator", str(folder / "operator.toml")]
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", *arguments, stderr=asyncio.subprocess.PIPE,
+        sys.executable, "-m", *arguments, stderr=asyncio.subprocess.PIPE, cwd=tree,
         env={**os.environ, "RELAY_CONFIG": str(config)})
     assert process.stderr is not None
     log: list[str] = []
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -19,8 +19,8 @@
 from pathlib import Path
 from typing import Any
 
-from .processes import agent, backends
-from .request_load import Offered, offer
+from .processes import agent, backends, settings
+from .request_load import Clients, Offered, offer
 
 BAR = 3.0  # times the CPU of the bare pass-through
 RATE, CONNECTIONS, BACKENDS, DELAY_MS = 500.0, 12, 6, 2.0
@@ -52,9 +52,10 @@
 
 async def cost(target: Any, seconds: float, fresh: float) -> tuple[float, Offered]:
     """Microseconds of CPU a request, once connections and beliefs are warm."""
-    await offer(target.port, RATE, 1.0, CONNECTIONS, fresh, seed=1)
+    clients = Clients(CONNECTIONS, fresh)
+    await offer(target.port, RATE, 1.0, clients, seed=1)
     before = target.cpu_us()
-    offered = await offer(target.port, RATE, seconds, CONNECTIONS, fresh, seed=2)
+    offered = await offer(target.port, RATE, seconds, clients, seed=2)
     return (target.cpu_us() - before) / offered.asked, offered
 
 
@@ -69,12 +70,12 @@
             for probes in (False, True):
                 with tempfile.TemporaryDirectory() as folder:
                     out = Path(folder) / "samples.json"
-                    async with agent(Path(folder), ports, 1024, probes=probes) as target:
+                    async with agent(Path(folder), ports, 1024, facts=settings(probes)) as target:
                         us, offered = await cost(target, seconds, fresh)
                     what = f"agent{', probes' if probes else ''}, {name}"
                     rows.append({"play": what, "us": us, "ratio": us / control, **offered.as_json()})
                     # The split is a play of its own: a sampler costs CPU, too.
-                    async with agent(Path(folder), ports, 1024, probes=probes, sample=out) as target:
+                    async with agent(Path(folder), ports, 1024, facts=settings(probes), sample=out) as target:
                         await cost(target, seconds, fresh)
                     parts[what] = {"us": us, **json.loads(out.read_text())}
     return rows, parts
--- a/brasshead/interface.py
+++ b/brasshead/interface.py
@@ -63,6 +63,8 @@
     CANCELLED = "cancelled"  # may have run or still run
     NOT_SENT = "not_sent"  # never left; never ran
 
+    __hash__ = object.__hash__  # members are singletons; Enum's own is a call in Python, several a request
+
 
 NEVER_RAN = frozenset({Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
 
--- a/lilacsill/admission/ledger.py
+++ b/lilacsill/admission/ledger.py
@@ -16,6 +16,8 @@
     DOWNSTREAM = "downstream"
     UPSTREAM = "upstream"
 
+    __hash__ = object.__hash__  # as in policy.State
+
     @property
     def other(self) -> Side:
         return Side.UPSTREAM if self is Side.DOWNSTREAM else Side.DOWNSTREAM
--- a/lilacsill/admission/policy.py
+++ b/lilacsill/admission/policy.py
@@ -14,6 +14,8 @@
     IDLE = "idle"  # between two requests
     LINGERING = "lingering"  # answered with an error; what still comes is read and dropped
 
+    __hash__ = object.__hash__  # members are singletons; Enum's own is a call in Python, several a request
+
 
 class Rank(IntEnum):
     """In which order connections make way; the lowest goes first, within a rank whoever is in it for longest."""
--- a/lilacsill/clock.py
+++ b/lilacsill/clock.py
@@ -36,8 +36,10 @@
         loop = asyncio.get_running_loop()
         if loop is not self._loop:  # a loop that is over takes its timers with it
             self._loop, self._wheel, self._armed = loop, Wheel(), None
-        timer = self._wheel.add(self.now() + delay_us, call, *arguments)
-        self._arm()
+        at = time.monotonic_ns() // 1000 + delay_us
+        timer = self._wheel.add(at, call, arguments)
+        if self._armed is None or at < self._armed_at:
+            self._arm()
         return timer
 
     def _arm(self) -> None:
--- a/lilacsill/timers.py
+++ b/lilacsill/timers.py
@@ -60,7 +60,7 @@
         """When the next slot is due, in microseconds; None: nothing is."""
         return self._order[0] * SLOT_US if self._order else None
 
-    def add(self, at_us: int, call: Callable[..., None], *arguments: Any) -> Timer:
+    def add(self, at_us: int, call: Callable[..., None], arguments: tuple[Any, ...] = ()) -> Timer:
         """`call(*arguments)` at that time."""
         timer = Timer(self, call, arguments)
         number = -(-at_us // SLOT_US)
--- a/tests/test_late.py
+++ b/tests/test_late.py
@@ -1,4 +1,4 @@
-"""A caller whose core is full: what it leaves out, what it remembers, how it is told from one that stood still."""
+"""A caller whose core is full: what it leaves out and remembers, how it is told from one that stood still."""
 from __future__ import annotations
 
 from collections.abc import Iterator
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from pathlib import Path
 
 import pytest
 
@@ -13,6 +14,7 @@
 from lilacsill.clock import Clock
 from lilacsill.net.connecting import Connecting, connected, family_of
 from lilacsill.net.stream import Stream
+from tests.loopback import post, world
 
 BIG = bytes(8 * 1024 * 1024)  # more than the kernel takes at once
 
@@ -211,3 +213,17 @@
 def test_numeric_addresses_are_told_from_names() -> None:
     assert family_of("127.0.0.1") == socket.AF_INET and family_of("::1") == socket.AF_INET6
     assert family_of("localhost") is None and family_of("1.2.3") is None and family_of("a\0b") is None
+
+
+def test_a_request_that_came_with_its_connection_is_taken_in_the_turn_that_accepts_it(tmp_path: Path) -> None:
+    """With a full core a turn takes 50 ms: four to set a connection up were the end of every probe."""
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            with socket.create_connection(("127.0.0.1", w.port)) as client:
+                client.sendall(post())
+                while not w.server.connections:
+                    await asyncio.sleep(0)
+                assert w.server.open_request_ids
+                await (await w.request()).answer()
+
+    asyncio.run(run())
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -22,7 +22,7 @@
     for what, n in steps:
         if what == "add":
             number = len(timers)
-            timers.append(wheel.add(now + n, fired.append, number))
+            timers.append(wheel.add(now + n, fired.append, (number,)))
             due[number] = now + n
         elif what == "cancel" and timers:
             n %= len(timers)
@@ -54,7 +54,7 @@
 def test_one_cancelled_by_another_of_its_slot_stays_silent() -> None:
     wheel, fired = Wheel(), list[str]()
     wheel.add(10, lambda: other.cancel())
-    other = wheel.add(10, fired.append, "late")
+    other = wheel.add(10, fired.append, ("late",))
     for timer in wheel.take(SLOT_US):
         timer.fire()
     assert not fired and len(wheel) == 0
