--- a/lilacsill/admission/connections.py
+++ b/lilacsill/admission/connections.py
@@ -1,25 +1,27 @@
 """The downstream connections by state, so that who makes way is found without a look at all of them."""
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from .addresses import AddressEntry, AddressTable
 from .policy import Rank, Standing, State, rank
 from .settings import Timeouts
 
+CROWD_LOOKS = 32  # of a crowd: some of it have a request in hand
 LOOKS = 8  # candidates offered from each state and standing; the shell may find some unfit
 
 
 class Record:
     """One connection as the policy sees it. Times are microseconds of the caller's clock."""
 
-    __slots__ = ("entry", "known", "state", "since", "opened_at", "closing")
+    __slots__ = ("entry", "known", "state", "since", "opened_at", "closing", "crowd")
 
     def __init__(self, entry: AddressEntry, known: bool, now: int) -> None:
         self.entry, self.known = entry, known
         self.state = State.SILENT
         self.since = self.opened_at = now  # in this state since
         self.closing = False  # no longer counted as open
+        self.crowd = 0  # who pays for it (crowds.py)
 
 
 class ConnectionTable:
@@ -56,15 +58,19 @@
         for records in self._by.values():
             yield from records
 
-    def standing(self, r: Record, now: int) -> Standing:
+    def standing(self, r: Record, now: int, over: bool = False) -> Standing:
         # Only silence in full tells of ill will; from a known client it needs as long as idleness.
-        return Standing(r.state, r.known, r.entry.identity in self._addresses.over_cap,
+        return Standing(r.state, r.known, over or r.entry.identity in self._addresses.over_cap,
                         now - r.since > self._timeouts.idle_min_us)
 
-    def candidates(self, for_known: bool, now: int) -> list[tuple[Rank, Record]]:
-        """Who may make way, first the one that should. Bounded: the oldest few of each state and standing, and of
-        addresses over their cap."""
+    def candidates(self, for_known: bool, now: int, crowd: Iterable[Record] = ()) -> list[tuple[Rank, Record]]:
+        """Who may make way, first the one that should. Bounded: the oldest few of each state and standing, of a crowd
+        over its part, and those of addresses over their cap."""
         found: list[tuple[Rank, int, Record]] = []
+        for r, _ in zip(crowd, range(CROWD_LOOKS), strict=False):
+            at = rank(self.standing(r, now, over=True), for_known)
+            if at is not None:
+                found.append((at, r.since, r))
         for (_, known), records in self._by.items():
             if known and not for_known:
                 continue
--- a/lilacsill/admission/gate.py
+++ b/lilacsill/admission/gate.py
@@ -7,6 +7,7 @@
 
 from .addresses import AddressTable
 from .connections import ConnectionTable, Record
+from .crowds import Crowds
 from .ledger import Ledger, Side
 from .policy import Arrival, Rank, Reason, State, Verdict, decide, keeps_alive
 from .settings import AdmissionSettings, Timeouts, identity
@@ -40,6 +41,7 @@
         self._settings = settings
         self._addresses = AddressTable(settings)
         self.connections = ConnectionTable(self._addresses, timeouts)
+        self.crowds = Crowds()
         self._rng = Random(seed)
         self._log = log
         self._lag_us = 0.0  # how far the event loop is behind, smoothed
@@ -109,7 +111,8 @@
 
     def _victim(self, for_known: bool, now: int,
                 fit: Callable[[Record], bool]) -> tuple[Rank | None, Record | None]:
-        for at, record in self.connections.candidates(for_known, now):
+        crowd = self.crowds.over(self.ledger.capacity(Side.DOWNSTREAM))
+        for at, record in self.connections.candidates(for_known, now, crowd):
             if fit(record):
                 return at, record
         return None, None
@@ -146,6 +149,11 @@
             record.entry.in_flight -= 1
         self.connections.move(record, state, now)
 
+    def pays(self, record: Record, crowd: int, weight: float) -> None:
+        """The client has shown whose connection it is."""
+        if not record.closing:
+            self.crowds.move(record, crowd, weight)
+
     def served(self, record: Record, now: int) -> None:
         """A good answer goes out."""
         self._addresses.served(record.entry, now, self._storm.on)
@@ -164,6 +172,7 @@
         assert record.state is not State.IN_FLIGHT and not record.closing
         record.closing = True
         self.connections.remove(record)
+        self.crowds.leave(record)
         self._addresses.closed(record.entry)
         self.ledger.start_closing(Side.DOWNSTREAM, record.known)
 
@@ -174,6 +183,7 @@
         if record.state is State.IN_FLIGHT:
             record.entry.in_flight -= 1
         self.connections.remove(record)
+        self.crowds.leave(record)
         self._addresses.closed(record.entry)
         self.ledger.freed(Side.DOWNSTREAM, record.known)
 
--- a/lilacsill/admission/policy.py
+++ b/lilacsill/admission/policy.py
@@ -20,7 +20,7 @@
 class Rank(IntEnum):
     """In which order connections make way; the lowest goes first, within a rank whoever is in it for longest."""
 
-    OVER_CAP = 0  # its address holds more than its cap
+    OVER_CAP = 0  # its address holds more than its cap, or who pays for it more than their part
     SILENT = 1
     LINGERING = 2
     IDLE = 3  # for the time from which on it may be closed
--- a/lilacsill/hosted/api/handlers.py
+++ b/lilacsill/hosted/api/handlers.py
@@ -14,6 +14,7 @@
 from ..supervisor.workers import Workers
 from . import calls
 from .callers import Caller
+from .figures import figures
 from .problems import Problem
 
 IN_FORCE_S = 5.0  # a change is answered when all workers have it, or after this
@@ -191,31 +192,7 @@
 
     def figures(self) -> dict[str, Any]:
         """The service in figures, for the API, the page and the metrics."""
-        directory, workers = self._service.directory, self._workers
-        in_flight: dict[int, int] = {}
-        for s in workers.states:
-            if s.report is not None:
-                for uid, count in s.report.in_flight.items():
-                    in_flight[uid] = in_flight.get(uid, 0) + count
-        busy = []
-        for name, tenant in directory.tenants.items():
-            total = workers.account.totals(tenant.uid)
-            if total.requests or tenant.uid in in_flight:
-                busy.append({"name": name, "pool": tenant.spec.pool, "state": tenant.spec.state.value,
-                             "weight": tenant.spec.weight, "in_flight": in_flight.get(tenant.uid, 0),
-                             "requests": total.requests, "served": total.served, "in_aim": total.in_aim,
-                             "failed": total.failed, "refused": sum(total.refused.values()),
-                             "cpu_s": round(total.cpu_us / 1e6, 3)})
-        return {
-            "revision": self._service.store.revision,
-            "tenants": len(directory.tenants), "pools": len(directory.pools),
-            "workers": [{"number": s.number, "serving": s.serving, "have": s.have, "starts": s.starts,
-                         "pid": s.process.pid if s.process is not None else 0,
-                         "connections": s.report.connections if s.report else 0,
-                         "cpu_s": round(s.report.cpu_s, 2) if s.report else 0.0,
-                         "rss_mb": round(s.report.rss_mb, 1) if s.report else 0.0,
-                         "held_back": s.report.waiting if s.report else 0} for s in workers.states],
-            "busiest": sorted(busy, key=_requests, reverse=True)[:100]}
+        return figures(self._service.store.revision, self._service.directory, self._workers)
 
     # Within
 
@@ -251,10 +228,6 @@
         return True
 
 
-def _requests(row: dict[str, Any]) -> int:
-    return int(row["requests"])
-
-
 def _spec(kind: Kind, body: dict[str, Any]) -> Spec:
     try:
         return decode_spec(kind, body)
--- a/lilacsill/hosted/api/metrics.py
+++ b/lilacsill/hosted/api/metrics.py
@@ -14,11 +14,12 @@
 from .callers import Caller
 from .handlers import Handlers
 
+BY_POOL = ("tenants", "servers", "usable", "in_hand", "excess", "window", "latency_ms")
 BY_TENANT = ("requests", "served", "in_aim", "failed", "refused", "cpu_s")
 
 
 class Metrics(Collector):
-    """Counters of a tenant go back over the hour that the account keeps; the hundred busiest are told."""
+    """Counters of a tenant go back over the hour that the account keeps; the hundred busiest are told, of pools too."""
 
     def __init__(self, handlers: Handlers) -> None:
         self._handlers = handlers
@@ -41,6 +42,12 @@
         for w in figures["workers"]:
             starts.add_metric([str(w["number"])], w["starts"])
         yield starts
+        for name in BY_POOL:
+            gauge = GaugeMetricFamily(f"lilacsill_pool_{name}", f"{name} of a pool", labels=["pool"])
+            for row in figures["busiest_pools"]:
+                if row[name] is not None:
+                    gauge.add_metric([row["name"]], float(row[name]))
+            yield gauge
         for name in BY_TENANT:
             family = GaugeMetricFamily(f"lilacsill_tenant_{name}_last_hour", f"{name} of a tenant in the last hour",
                                        labels=["tenant"])
--- a/lilacsill/hosted/api/openapi.py
+++ b/lilacsill/hosted/api/openapi.py
@@ -133,7 +133,7 @@
             _query("kind", {"enum": [k.value for k in Kind]}, "Only of this kind"),
             _query("name", {"type": "string"}, "Only of this name")],
         "responses": _answers({200: {"type": "object", "required": ["items", "after"]}})}}
-    paths["/v1/status"] = {"get": {"operationId": "status", "summary": "Workers and the busiest tenants",
+    paths["/v1/status"] = {"get": {"operationId": "status", "summary": "Workers, the busiest pools and tenants",
                                    "responses": _answers({200: {"type": "object"}})}}
     return {"openapi": "3.1.0", "info": {"title": "lilacsill administration", "version": "1"}, "paths": paths,
             "security": [{"bearer": []}], "components": {
--- a/lilacsill/hosted/api/page.py
+++ b/lilacsill/hosted/api/page.py
@@ -26,19 +26,24 @@
  for(const x of heads){const e=document.createElement('th');e.textContent=x;r.append(e)}
  const b=t.createTBody();for(const x of rows){const r=b.insertRow();for(const c of x)Array.isArray(c)?cell(r,...c):cell(r,c)}
  return[h,t]}
+const percent=x=>(100*x).toFixed(1)+'%',intime=x=>x.served?percent(x.in_aim/x.served):'-';
 async function show(){clearTimeout(timer);
  try{const a=await fetch('/v1/status',{headers:{Authorization:'Bearer '+$('t').value}});const s=await a.json();
   if(!a.ok){$('m').textContent=s.detail;$('m').className='bad';$('o').replaceChildren();return}
   $('m').className='';$('m').textContent=`revision ${s.revision}, ${s.tenants} tenants, ${s.pools} pools`;
-  const all=s.busiest.reduce((n,t)=>n+t.cpu_s,0)||1;
   $('o').replaceChildren(...table('Workers',['worker','serving','revision','starts','connections','CPU s','MB','held back'],
    s.workers.map(w=>[w.number,w.serving?'yes':['no','bad'],w.have===s.revision?w.have:[w.have,'bad'],w.starts,
     w.connections,w.cpu_s,w.rss_mb,w.held_back])),
-   ...table('Tenants of the last hour, busiest first',['tenant','state','pool','weight','in hand','requests','in time',
-    'refused','failed','CPU s','part of the CPU'],s.busiest.map(t=>{const b=document.createElement('span');
-    b.className='bar';b.style.width=Math.max(1,Math.round(100*t.cpu_s/all))+'%';
-    return[t.name,t.state==='active'?t.state:[t.state,'bad'],t.pool,t.weight,t.in_flight,t.requests,
-    t.served?(100*t.in_aim/t.served).toFixed(1)+'%':'-',t.refused,t.failed,t.cpu_s,b]})));
+   ...table('Pools of the last hour, busiest first',['pool','tenants','servers','in hand','beyond share','latency ms',
+    'least ms','requests','in time','refused','failed'],s.busiest_pools.map(p=>[p.name,p.tenants,
+    p.servers===null?'not used yet':p.usable<p.servers?[`${p.usable} of ${p.servers}`,'bad']:p.servers,p.in_hand,
+    `${p.excess} of ${p.window}`,p.latency_ms,p.base_ms,p.requests,intime(p),p.refused,p.failed])),
+   ...table('Tenants of the last hour, busiest first',['tenant','state','pool','weight','asked / s','quota / s','in hand',
+    'requests','in time','refused','failed','CPU s','part by weight','part had'],s.busiest.map(t=>{
+    const b=document.createElement('span');b.className='bar';b.style.width=Math.max(1,Math.round(100*t.cpu_part))+'%';
+    b.title=percent(t.cpu_part);const over=t.quota_per_s&&t.per_s>t.quota_per_s;
+    return[t.name,t.state==='active'?t.state:[t.state,'bad'],t.pool,t.weight,over?[t.per_s,'bad']:t.per_s,
+    t.quota_per_s||'-',t.in_flight,t.requests,intime(t),t.refused,t.failed,t.cpu_s,percent(t.weight_part),b]})));
   timer=setTimeout(show,2000)}catch(e){$('m').textContent='no answer: '+e;$('m').className='bad';timer=setTimeout(show,5000)}}
 $('f').addEventListener('submit',e=>{e.preventDefault();show()});
 </script></html>
--- a/lilacsill/hosted/api/server.py
+++ b/lilacsill/hosted/api/server.py
@@ -60,6 +60,8 @@
         config.h11_max_incomplete_size = 32 * 1024
         config.read_timeout = 30
         config.graceful_timeout = 1.0
+        # Longer than clients keep an idle one (httpx 5 s, Go 90 s), or a POST may meet the close.
+        config.keep_alive_timeout = 95
         if self._section.admin_tls_cert:
             config.certfile, config.keyfile = self._section.admin_tls_cert, self._section.admin_tls_key
         self._task = asyncio.create_task(serve(self.app, config, shutdown_trigger=self._stop.wait))  # type: ignore[arg-type]
--- a/lilacsill/hosted/cli/main.py
+++ b/lilacsill/hosted/cli/main.py
@@ -333,16 +333,19 @@
 @cli.command()
 @_api
 def status(**o: Any) -> None:
-    """Workers, and the busiest tenants of the last hour."""
+    """Workers, and the busiest pools and tenants of the last hour."""
     caller = _caller(o)
     found = caller.call("GET", "/v1/status").json()
     if caller.as_json:
         return caller.tell(found)
     click.echo(f"revision {found['revision']}, {found['tenants']} tenants, {found['pools']} pools")
     caller.tell(found["workers"], ("number", "serving", "have", "starts", "connections", "cpu_s", "rss_mb"))
+    if found["busiest_pools"]:
+        caller.tell(found["busiest_pools"], ("name", "tenants", "usable", "servers", "in_hand", "excess", "latency_ms",
+                                             "requests", "served", "refused", "failed"))
     if found["busiest"]:
-        caller.tell(found["busiest"], ("name", "state", "pool", "weight", "in_flight", "requests", "served", "refused",
-                                       "failed", "cpu_s"))
+        caller.tell(found["busiest"], ("name", "state", "pool", "weight", "per_s", "quota_per_s", "in_flight",
+                                       "requests", "served", "refused", "failed", "weight_part", "cpu_part"))
 
 
 # The store
--- a/lilacsill/hosted/messages.py
+++ b/lilacsill/hosted/messages.py
@@ -55,6 +55,18 @@
     revision: int
 
 
+class PoolFigures(msgspec.Struct, frozen=True):
+    """A pool as one worker has it now. Latencies are smoothed."""
+
+    servers: int  # that may get new work
+    usable: int  # of these, what the module does not leave out for their health
+    in_hand: int  # requests
+    excess: int  # of these, beyond their tenants' shares
+    window: float  # the most excess there may be
+    latency_ms: float
+    base_ms: float  # the least of it lately: excess may raise it by a twentieth
+
+
 class Report(msgspec.Struct, tag="report", frozen=True):
     """Every half second: the account of use since the last one, demand a tenant, and how the process does."""
 
@@ -64,7 +76,8 @@
     connections: int
     cpu_s: float
     rss_mb: float
-    waiting: int  # tenants that are held back now
+    waiting: int  # accounts that are held back now
+    pools: dict[str, PoolFigures] = {}
 
 
 class Drained(msgspec.Struct, tag="drained", frozen=True):
--- a/lilacsill/hosted/worker/front.py
+++ b/lilacsill/hosted/worker/front.py
@@ -218,6 +218,7 @@
                 self._tenancy.refused(held.uid, over.cause)
                 raise Unreadable(429, f"too many: {over.cause}")
             connection.tenant = connection.turn = held.uid
+            self._server.gate.pays(connection.record, held.uid, held.weight)
         call = pool.validator.validate(request, respond)
         # Two tenants may use one id or key; a server that drops repeats must not take the one for the other.
         scope = held.name.encode() + b"~"
--- a/lilacsill/hosted/worker/pools.py
+++ b/lilacsill/hosted/worker/pools.py
@@ -22,6 +22,7 @@
 from ..decisions.directory import Pool, Tenant
 from ..decisions.excess import Excess, beyond_weight
 from ..decisions.limits import Holdings
+from ..messages import PoolFigures
 
 
 class PoolRuntime:
@@ -106,6 +107,11 @@
             del self._by_tenant[uid]
         self._end_if_idle()
 
+    def figures(self) -> PoolFigures:
+        beliefs, excess = self.agent.beliefs(), self.excess
+        return PoolFigures(len(beliefs), sum(b.admitted for b in beliefs), self.in_hand, excess.out,
+                           round(excess.window, 1), round(excess.latency_us / 1000, 1), round(excess.base_us / 1000, 1))
+
     def _end_if_idle(self) -> None:
         if self._leaving and not self.in_hand:
             self._discovery.stop()
--- a/lilacsill/hosted/worker/process.py
+++ b/lilacsill/hosted/worker/process.py
@@ -163,7 +163,7 @@
         return Report(tenancy.account.take(), demand,
                       {uid: h.holdings.in_flight for uid, h in tenancy.held.items() if h.holdings.in_flight},
                       len(self._server.connections), self._cpu_s,
-                      _rss_mb(), tenancy.turns.waiting)
+                      _rss_mb(), tenancy.turns.waiting, {n: p.figures() for n, p in tenancy.pools.items()})
 
 
 def _rss_mb() -> float:
--- a/lilacsill/hosted/worker/tenancy.py
+++ b/lilacsill/hosted/worker/tenancy.py
@@ -31,6 +31,7 @@
     uid: int
     name: str
     holdings: Holdings
+    weight: float
     leaving: bool = False
     demand: int = 0  # requests since the last report
 
@@ -78,7 +79,8 @@
 
     def _hold(self, tenant: Tenant) -> Held:
         part = self._parts.get(tenant.uid, 1.0 / self._workers)
-        held = self.held[tenant.uid] = Held(tenant.uid, tenant.name, Holdings(tenant.spec.limits, part))
+        holdings = Holdings(tenant.spec.limits, part)
+        held = self.held[tenant.uid] = Held(tenant.uid, tenant.name, holdings, tenant.spec.weight)
         self._join(tenant.uid, tenant.spec.weight)
         return held
 
@@ -159,7 +161,7 @@
                     runtime.forget(r.uid)
             held = self.held.get(r.uid)
             if held is not None:
-                held.holdings.limits = r.spec.limits
+                held.holdings.limits, held.weight = r.spec.limits, r.spec.weight
                 self._join(r.uid, r.spec.weight)
             if r.spec.state is State.REMOVING:
                 if held is None:
--- a/tests/hosted/test_turns.py
+++ b/tests/hosted/test_turns.py
@@ -11,6 +11,8 @@
 import msgspec
 import pytest
 
+from lilacsill import descriptors
+from lilacsill.admission.settings import AdmissionSettings
 from lilacsill.hosted.decisions.secrets import digest_of, make_token
 from lilacsill.hosted.messages import Ready, Snapshot, Stored, Update, read_from_worker
 from lilacsill.hosted.resources import CredentialSpec, Kind, PoolSpec, Role, Spec, TenantSpec
@@ -71,7 +73,7 @@
 
 
 @contextlib.asynccontextmanager
-async def world(prompt: bool = True, **loud: Any) -> AsyncIterator[World]:
+async def world(prompt: bool = True, sockets: int = 512, **loud: Any) -> AsyncIterator[World]:
     fleet = await Fleet(prompt).start()
     pool = PoolSpec(discovery=f"127.0.0.1:{fleet.discovery.port}", settings=facts())
     resources = [stored(Kind.POOL, "p", 1, pool), stored(Kind.TENANT, "quiet", QUIET, TenantSpec(pool="p")),
@@ -83,7 +85,7 @@
     ours, theirs = socket.socketpair()
     reader, writer = await asyncio.open_connection(sock=theirs)
     told, _ = await asyncio.open_connection(sock=ours)
-    worker = Worker(WorkerConfig("127.0.0.1:0", 0, 1, 512, 1), reader, writer)
+    worker = Worker(WorkerConfig("127.0.0.1:0", 0, 1, sockets, 1), reader, writer)
     worker._hear(Snapshot(1, resources))
     ready = read_from_worker(await told.readline())
     assert isinstance(ready, Ready)
@@ -217,6 +219,25 @@
     asyncio.run(run())
 
 
+def test_who_holds_all_descriptors_makes_way_for_another_tenant() -> None:
+    async def run() -> None:
+        async with world(sockets=descriptors.held() + 90) as w:
+            w.worker._server.gate.change(AdmissionSettings(keep_alive=1000))
+            loud = [await w.client()]
+            while await w.served(loud[-1], LOUD) == 200 and not loud[0].told_of_close():
+                loud.append(await w.client())
+            full = w.worker._server.gate.crowds.held(LOUD)
+            # Both addresses are one, and none of these has been idle for long: by them nobody would make way.
+            quiet = []
+            for _ in range(3):
+                quiet.append(await w.client())
+                assert await w.served(quiet[-1], QUIET) == 200
+            crowds = w.worker._server.gate.crowds
+            assert crowds.held(QUIET) == 3 and crowds.held(LOUD) <= full - 2
+
+    asyncio.run(run())
+
+
 def test_tenants_that_do_nothing_are_set_aside_from_the_collector() -> None:
     async def run() -> None:
         async with world() as w:
--- a/tests/test_accept.py
+++ b/tests/test_accept.py
@@ -46,10 +46,16 @@
         self.accepted.put_nowait((sock, host, tight))
 
 
+def loop_on(listener: Scripted, spare: Spare, seen: Seen,
+            take: Callable[[socket.socket, str, bool], None] | None = None, more: bool = True) -> AcceptLoop:
+    took, short = take or seen.take, seen.short.append
+    return AcceptLoop(listener, spare, took, short, lambda: more)  # type: ignore[arg-type]
+
+
 def run(script: list[int], body: Callable[[Scripted, Seen, Spare], Any]) -> None:
     async def whole() -> None:
         listener, seen, spare = Scripted(script), Seen(), Spare()
-        accepting = AcceptLoop(listener, spare, seen.take, seen.short.append, lambda: True)  # type: ignore[arg-type]
+        accepting = loop_on(listener, spare, seen)
         accepting.start()
         try:
             await asyncio.wait_for(body(listener, seen, spare), 60)
@@ -153,7 +159,7 @@
                 raise faults.pop()
             taken(sock, host, tight)
 
-        accepting = AcceptLoop(listener, spare, take, seen.short.append, lambda: True)  # type: ignore[arg-type]
+        accepting = loop_on(listener, spare, seen, take)
         asyncio.get_running_loop().remove_reader(listener.fileno())
         accepting.start()
         with client(listener) as first, client(listener):
@@ -195,7 +201,7 @@
 def test_where_no_more_may_follow_one_is_accepted_in_a_turn() -> None:
     async def whole() -> None:
         listener, seen, spare = Scripted([]), Seen(), Spare()
-        accepting = AcceptLoop(listener, spare, seen.take, seen.short.append, lambda: False)  # type: ignore[arg-type]
+        accepting = loop_on(listener, spare, seen, more=False)
         clients = [client(listener) for _ in range(3)]
         for number in range(1, 4):
             accepting._ready()
--- a/tests/test_admission_policy.py
+++ b/tests/test_admission_policy.py
@@ -12,6 +12,7 @@
 
 from lilacsill.admission.addresses import AddressTable
 from lilacsill.admission.connections import Record
+from lilacsill.admission.crowds import Crowds
 from lilacsill.admission.gate import Admitted, Gate, Refused
 from lilacsill.admission.ledger import Ledger, Side
 from lilacsill.admission.policy import (
@@ -280,6 +281,31 @@
 ]
 
 
+@pytest.mark.parametrize("held, weights, capacity, over", [
+    ({1: 10, 2: 2}, {}, 12, 1),
+    ({1: 4, 2: 4}, {}, 12, None), ({1: 6}, {}, 12, None), ({1: 7}, {}, 12, 1),
+    ({1: 5, 2: 2}, {1: 2.0}, 12, None), ({1: 7, 2: 5}, {2: 0.25}, 12, 2), ({1: 1, 2: 1}, {}, 1, None),
+    ({}, {}, 12, None), ({1: 5, 2: 6, 3: 1}, {}, 12, 2), ({1: 3}, {1: 0.0}, 12, 1),
+])
+def test_the_crowd_that_holds_most_above_its_part_makes_way(
+        held: dict[int, int], weights: dict[int, float], capacity: int, over: int | None) -> None:
+    crowds, addresses = Crowds(), AddressTable(AdmissionSettings())
+    records = [(Record(addresses.find("a", SECOND), False, SECOND), c) for c, n in held.items() for _ in range(n)]
+    for record, crowd in records:
+        crowds.move(record, crowd, weights.get(crowd, 1.0))
+    found = list(crowds.over(capacity))
+    assert [r.crowd for r in found] == [over] * held.get(over or 0, 0)
+    # As it comes down to its part it is no longer named, and who left is in no crowd.
+    while (first := next(crowds.over(capacity), None)) is not None:
+        crowds.leave(first)
+        crowds.leave(first)
+        assert first.crowd == 0
+    for record, _ in records:
+        crowds.move(record, 9, 1.0)
+        assert record.crowd == 9 and crowds.held(9) <= len(records)
+    assert crowds.held(9) == len(records) and not any(crowds.held(c) for c in held)
+
+
 class Admission(RuleBasedStateMachine):
     """Clients and backends come, speak, are answered and go; limits and settings change under them."""
 
@@ -334,6 +360,11 @@
         if state is State.IN_FLIGHT:
             assert record.entry.in_flight > 0
 
+    @precondition(lambda self: self.open)
+    @rule(data=st.data(), crowd=st.integers(1, 3), weight=st.sampled_from([0.5, 1.0, 4.0]))
+    def pays(self, data: Any, crowd: int, weight: float) -> None:
+        self.gate.pays(data.draw(st.sampled_from(self.open)), crowd, weight)
+
     @precondition(lambda self: self.open)
     @rule(data=st.data())
     def leaves(self, data: Any) -> None:
@@ -384,6 +415,15 @@
         self.lowered = True  # a new reserve may be in use by strangers already
         self.gate.change(settings)
 
+    @invariant()
+    def crowds_hold_what_is_open(self) -> None:
+        crowds, capacity = self.gate.crowds, self.ledger.capacity(Side.DOWNSTREAM)
+        held = {c: [r for r in self.open if r.crowd == c] for c in (1, 2, 3)}
+        assert all(crowds.held(c) == len(records) for c, records in held.items())
+        over = list(crowds.over(capacity))
+        assert all(r.crowd == over[0].crowd and not r.closing for r in over)
+        assert len(over) != 1, "one is within anybody's part"
+
     @invariant()
     def within_the_budget(self) -> None:
         ledger = self.ledger
