--- a/tests/test_admission_policy.py
+++ b/tests/test_admission_policy.py
@@ -291,7 +291,8 @@
 def test_the_crowd_that_holds_most_above_its_part_makes_way(
         held: dict[int, int], weights: dict[int, float], capacity: int, over: int | None) -> None:
     crowds, addresses = Crowds(), AddressTable(AdmissionSettings())
-    records = [(Record(addresses.find("a", SECOND), False, SECOND), c) for c, n in held.items() for _ in range(n)]
+    entry = addresses.find("a", SECOND)
+    records = [(Record(entry, False, SECOND), c) for c, n in held.items() for _ in range(n)]
     for record, crowd in records:
         crowds.move(record, crowd, weights.get(crowd, 1.0))
     found = list(crowds.over(capacity))
