Hosted: a tenant that goes while its connections wait no longer stops the turns of all others

Found by reading: `forget` took the waiting connections of a removed tenant, and its turn, named later, was looked up and not there. The error ended the pump, and whoever waited then waited for good. Mended; what waited and is over is let go of when nobody waits. The test hangs without the mend.

--- a/lilacsill/hosted/worker/front.py
+++ b/lilacsill/hosted/worker/front.py
@@ -167,16 +167,18 @@
         turns = self.tenancy.turns
         turn = turns.next()
         if turn is not None:
-            waiting = self._waiting[turn]
+            waiting = self._waiting.get(turn)  # None: all of it was told to go on
             while waiting and not waiting.popleft().go_on():
                 pass
             if waiting:
                 turns.wait(turn)
             else:
-                del self._waiting[turn]
+                self._waiting.pop(turn, None)
         self._give_up()
         if turns.waiting:  # where it was nobody's turn, others are at work, and behind
             self._pump_soon()
+        else:
+            self._order.clear()
 
     def _give_up(self) -> None:
         """Those that have waited for too long, a few in each turn of the loop: a thousand at once would hold it up."""
--- a/tests/hosted/test_turns.py
+++ b/tests/hosted/test_turns.py
@@ -150,6 +150,35 @@
     asyncio.run(run())
 
 
+def test_what_waits_of_a_tenant_that_goes_is_told_at_once_and_leaves_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(front, "TURN_US", HOUR_US)
+
+    async def run() -> None:
+        async with world() as w:
+            server = w.worker._server
+            clients = [await w.client() for _ in range(3)]
+            for c in clients:
+                assert await w.served(c, LOUD) == 200
+            w.ahead(LOUD)
+            for c in clients:
+                await w.ask(c, LOUD)
+            while len(server._order) < 3:
+                await asyncio.sleep(0)
+            leaving = msgspec.convert({"pool": "p", "state": "removing"}, TenantSpec)
+            w.worker._hear(Update(50, [stored(Kind.TENANT, "loud", LOUD, leaving)]))
+            for c in clients:
+                answer = await c.read()
+                assert answer.status == 403 and answer.headers["connection"] == "close"
+                await c.ended()
+            # Its turn may still be named once, and names nobody.
+            w.rest()
+            while w.turns.waiting or server._order or LOUD in w.tenancy.held:
+                await asyncio.sleep(0)
+            assert not server._waiting and await w.served(await w.client(), QUIET) == 200
+
+    asyncio.run(run())
+
+
 def test_a_client_that_was_refused_asks_again_at_its_own_cost(monkeypatch: pytest.MonkeyPatch) -> None:
     """Those of its tenant that were not refused do not wait for it."""
     monkeypatch.setattr(front, "TURN_US", HOUR_US)
