Tests: a tenant that goes while others wait behind it; the first form of this test could not fail

Now a request of the tenant is in hand, so that its turn is still named, and another connection waits behind it: without the mend it is never read (seen, 10 s), with it it is served.

--- a/tests/hosted/test_turns.py
+++ b/tests/hosted/test_turns.py
@@ -151,30 +151,46 @@
 
 
 def test_what_waits_of_a_tenant_that_goes_is_told_at_once_and_leaves_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its turn is still named once, since a request of it is in hand, and names nobody; whoever is behind goes on."""
     monkeypatch.setattr(front, "TURN_US", HOUR_US)
 
     async def run() -> None:
-        async with world() as w:
+        async with world(prompt=False) as w:
             server = w.worker._server
-            clients = [await w.client() for _ in range(3)]
+            taken, *clients = [await w.client() for _ in range(4)]
             for c in clients:
-                assert await w.served(c, LOUD) == 200
+                await w.ask(c, LOUD)
+                await (await w.fleet.backend.requests.get()).answer()
+                assert (await c.read()).status == 200
+            await w.ask(taken, LOUD)
+            got = await w.fleet.backend.requests.get()
             w.ahead(LOUD)
             for c in clients:
                 await w.ask(c, LOUD)
             while len(server._order) < 3:
                 await asyncio.sleep(0)
+            w.ahead(ANONYMOUS)
+            w.ahead(ANONYMOUS)
+            behind = await w.client()
+            await w.ask(behind, QUIET)
+            while ANONYMOUS not in server._waiting:
+                await asyncio.sleep(0)
             leaving = msgspec.convert({"pool": "p", "state": "removing"}, TenantSpec)
             w.worker._hear(Update(50, [stored(Kind.TENANT, "loud", LOUD, leaving)]))
             for c in clients:
                 answer = await c.read()
                 assert answer.status == 403 and answer.headers["connection"] == "close"
                 await c.ended()
-            # Its turn may still be named once, and names nobody.
+            assert w.turns.waiting
             w.rest()
-            while w.turns.waiting or server._order or LOUD in w.tenancy.held:
+            await (await w.fleet.backend.requests.get()).answer()
+            assert (await behind.read()).status == 200
+            await got.answer()
+            assert (await taken.read()).status == 200
+            await taken.ended()
+            while LOUD in w.tenancy.held:
                 await asyncio.sleep(0)
-            assert not server._waiting and await w.served(await w.client(), QUIET) == 200
+            assert not server._waiting and not server._order
 
     asyncio.run(run())
 
