--- a/tests/hosted/test_turns.py
+++ b/tests/hosted/test_turns.py
@@ -150,6 +150,51 @@
     asyncio.run(run())
 
 
+def test_what_waits_of_a_tenant_that_goes_is_told_at_once_and_leaves_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its turn is still named once, since a request of it is in hand, and names nobody; whoever is behind goes on."""
+    monkeypatch.setattr(front, "TURN_US", HOUR_US)
+
+    async def run() -> None:
+        async with world(prompt=False) as w:
+            server = w.worker._server
+            taken, *clients = [await w.client() for _ in range(4)]
+            for c in clients:
+                await w.ask(c, LOUD)
+                await (await w.fleet.backend.requests.get()).answer()
+                assert (await c.read()).status == 200
+            await w.ask(taken, LOUD)
+            got = await w.fleet.backend.requests.get()
+            w.ahead(LOUD)
+            for c in clients:
+                await w.ask(c, LOUD)
+            while len(server._order) < 3:
+                await asyncio.sleep(0)
+            w.ahead(ANONYMOUS)
+            w.ahead(ANONYMOUS)
+            behind = await w.client()
+            await w.ask(behind, QUIET)
+            while ANONYMOUS not in server._waiting:
+                await asyncio.sleep(0)
+            leaving = msgspec.convert({"pool": "p", "state": "removing"}, TenantSpec)
+            w.worker._hear(Update(50, [stored(Kind.TENANT, "loud", LOUD, leaving)]))
+            for c in clients:
+                answer = await c.read()
+                assert answer.status == 403 and answer.headers["connection"] == "close"
+                await c.ended()
+            assert w.turns.waiting
+            w.rest()
+            await (await w.fleet.backend.requests.get()).answer()
+            assert (await behind.read()).status == 200
+            await got.answer()
+            assert (await taken.read()).status == 200
+            await taken.ended()
+            while LOUD in w.tenancy.held:
+                await asyncio.sleep(0)
+            assert not server._waiting and not server._order
+
+    asyncio.run(run())
+
+
 def test_a_client_that_was_refused_asks_again_at_its_own_cost(monkeypatch: pytest.MonkeyPatch) -> None:
     """Those of its tenant that were not refused do not wait for it."""
     monkeypatch.setattr(front, "TURN_US", HOUR_US)
