Hosted: what a tenant asks a second is right from the first minute on; parts as figures

It showed 11 a second for a tenant that asked 60: an account of a minute that has begun was divided by 60. The part had stands beside its bar as a figure.

--- a/lilacsill/hosted/api/figures.py
+++ b/lilacsill/hosted/api/figures.py
@@ -13,9 +13,9 @@
 COUNTED = ("requests", "served", "in_aim", "failed")
 
 
-def figures(revision: int, directory: Directory, workers: Workers) -> dict[str, Any]:
-    """As /v1/status tells them. Parts are of those that are busy: `weight_part` is what a tenant may have where all
-    want the core, `cpu_part` what it has had in the last hour."""
+def figures(revision: int, directory: Directory, workers: Workers, wall_s: float) -> dict[str, Any]:
+    """As /v1/status tells them at this time of the clock that dates the account. Parts are of those that are busy:
+    `weight_part` is what a tenant may have where all want the core, `cpu_part` what it has had in the last hour."""
     in_flight = _in_flight(workers)
     tenants = []
     pools: dict[str, dict[str, Any]] = {name: _pool(name, workers) for name in directory.pools}
@@ -27,7 +27,7 @@
         if not total.requests and tenant.uid not in in_flight:
             continue
         row = {"name": name, "pool": tenant.spec.pool, "state": tenant.spec.state.value, "weight": tenant.spec.weight,
-               "quota_per_s": tenant.spec.quota_per_s, "per_s": _per_s(workers.account.of(tenant.uid)),
+               "quota_per_s": tenant.spec.quota_per_s, "per_s": per_s(workers.account.of(tenant.uid), wall_s),
                "in_flight": in_flight.get(tenant.uid, 0), **{c: getattr(total, c) for c in COUNTED},
                "refused": sum(total.refused.values()), "cpu_s": round(total.cpu_us / 1e6, 3)}
         tenants.append(row)
@@ -74,7 +74,10 @@
             "requests": 0, "served": 0, "in_aim": 0, "failed": 0, "refused": 0}
 
 
-def _per_s(rows: list[Minute]) -> float:
-    """Asked a second in the last whole minute; before there is one, in the minute that has begun."""
-    latest = rows[-2:-1] or rows[-1:]
-    return round(latest[0].requests / 60, 1) if latest else 0.0
+def per_s(rows: list[Minute], wall_s: float) -> float:
+    """Asked a second lately: over the minute that has begun and the one before it, from where its account begins."""
+    minute = int(wall_s // 60)
+    lately = [r for r in rows if minute - 1 <= r.at <= minute]
+    if not lately:
+        return 0.0
+    return round(sum(r.requests for r in lately) / max(1.0, wall_s - 60 * lately[0].at), 1)
--- a/lilacsill/hosted/api/page.py
+++ b/lilacsill/hosted/api/page.py
@@ -38,12 +38,12 @@
     'least ms','requests','in time','refused','failed'],s.busiest_pools.map(p=>[p.name,p.tenants,
     p.servers===null?'not used yet':p.usable<p.servers?[`${p.usable} of ${p.servers}`,'bad']:p.servers,p.in_hand,
     `${p.excess} of ${p.window}`,p.latency_ms,p.base_ms,p.requests,intime(p),p.refused,p.failed])),
-   ...table('Tenants of the last hour, busiest first',['tenant','state','pool','weight','asked / s','quota / s','in hand',
-    'requests','in time','refused','failed','CPU s','part by weight','part had'],s.busiest.map(t=>{
+   ...table('Tenants of the last hour, busiest first',['tenant','state','pool','weight','asked/s','quota/s','in hand',
+    'requests','in time','refused','failed','CPU s','part by weight','part had',''],s.busiest.map(t=>{
     const b=document.createElement('span');b.className='bar';b.style.width=Math.max(1,Math.round(100*t.cpu_part))+'%';
-    b.title=percent(t.cpu_part);const over=t.quota_per_s&&t.per_s>t.quota_per_s;
+    const over=t.quota_per_s&&t.per_s>t.quota_per_s;
     return[t.name,t.state==='active'?t.state:[t.state,'bad'],t.pool,t.weight,over?[t.per_s,'bad']:t.per_s,
-    t.quota_per_s||'-',t.in_flight,t.requests,intime(t),t.refused,t.failed,t.cpu_s,percent(t.weight_part),b]})));
+    t.quota_per_s||'-',t.in_flight,t.requests,intime(t),t.refused,t.failed,t.cpu_s,percent(t.weight_part),percent(t.cpu_part),b]})));
   timer=setTimeout(show,2000)}catch(e){$('m').textContent='no answer: '+e;$('m').className='bad';timer=setTimeout(show,5000)}}
 $('f').addEventListener('submit',e=>{e.preventDefault();show()});
 </script></html>
