--- a/lilacsill/hosted/api/figures.py
+++ b/lilacsill/hosted/api/figures.py
@@ -5,16 +5,16 @@
 from typing import Any
 
 from ..decisions.directory import Directory
-from ..decisions.usage import Minute
 from ..messages import PoolFigures
 from ..supervisor.workers import Workers, WorkerState
+from ..worker.process import REPORT_S
 
 MOST = 100  # rows told of tenants and of pools
 COUNTED = ("requests", "served", "in_aim", "failed")
 
 
-def figures(revision: int, directory: Directory, workers: Workers, wall_s: float) -> dict[str, Any]:
-    """As /v1/status tells them at this time of the clock that dates the account. Parts are of those that are busy:
+def figures(revision: int, directory: Directory, workers: Workers) -> dict[str, Any]:
+    """As /v1/status tells them. `per_s` is smoothed over the last seconds. Parts are of those that are busy:
     `weight_part` is what a tenant may have where all want the core, `cpu_part` what it has had in the last hour."""
     in_flight = _in_flight(workers)
     tenants = []
@@ -26,8 +26,9 @@
         total = workers.account.totals(tenant.uid)
         if not total.requests and tenant.uid not in in_flight:
             continue
+        asked = sum(w.demand.get(tenant.uid, 0.0) for w in workers.states)  # between two reports
         row = {"name": name, "pool": tenant.spec.pool, "state": tenant.spec.state.value, "weight": tenant.spec.weight,
-               "quota_per_s": tenant.spec.quota_per_s, "per_s": per_s(workers.account.of(tenant.uid), wall_s),
+               "quota_per_s": tenant.spec.quota_per_s, "per_s": round(asked / REPORT_S, 1),
                "in_flight": in_flight.get(tenant.uid, 0), **{c: getattr(total, c) for c in COUNTED},
                "refused": sum(total.refused.values()), "cpu_s": round(total.cpu_us / 1e6, 3)}
         tenants.append(row)
@@ -72,12 +73,3 @@
             "latency_ms": max((f.latency_ms for f in seen), default=0.0),
             "base_ms": max((f.base_ms for f in seen), default=0.0),
             "requests": 0, "served": 0, "in_aim": 0, "failed": 0, "refused": 0}
-
-
-def per_s(rows: list[Minute], wall_s: float) -> float:
-    """Asked a second lately: over the minute that has begun and the one before it, from where its account begins."""
-    minute = int(wall_s // 60)
-    lately = [r for r in rows if minute - 1 <= r.at <= minute]
-    if not lately:
-        return 0.0
-    return round(sum(r.requests for r in lately) / max(1.0, wall_s - 60 * lately[0].at), 1)
--- a/lilacsill/hosted/api/handlers.py
+++ b/lilacsill/hosted/api/handlers.py
@@ -2,7 +2,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import Any
 
 import msgspec
@@ -193,7 +192,7 @@
 
     def figures(self) -> dict[str, Any]:
         """The service in figures, for the API, the page and the metrics."""
-        return figures(self._service.store.revision, self._service.directory, self._workers, time.time())
+        return figures(self._service.store.revision, self._service.directory, self._workers)
 
     # Within
 
--- a/lilacsill/hosted/api/page.py
+++ b/lilacsill/hosted/api/page.py
@@ -40,7 +40,7 @@
     `${p.excess} of ${p.window}`,p.latency_ms,p.base_ms,p.requests,intime(p),p.refused,p.failed])),
    ...table('Tenants of the last hour, busiest first',['tenant','state','pool','weight','asked/s','quota/s','in hand',
     'requests','in time','refused','failed','CPU s','part by weight','part had',''],s.busiest.map(t=>{
-    const b=document.createElement('span');b.className='bar';b.style.width=Math.max(1,Math.round(100*t.cpu_part))+'%';
+    const b=document.createElement('span');b.className='bar';b.style.width=Math.max(1,Math.round(90*t.cpu_part))+'px';
     const over=t.quota_per_s&&t.per_s>t.quota_per_s;
     return[t.name,t.state==='active'?t.state:[t.state,'bad'],t.pool,t.weight,over?[t.per_s,'bad']:t.per_s,
     t.quota_per_s||'-',t.in_flight,t.requests,intime(t),t.refused,t.failed,t.cpu_s,percent(t.weight_part),percent(t.cpu_part),b]})));
--- a/tests/hosted/test_decisions.py
+++ b/tests/hosted/test_decisions.py
@@ -8,7 +8,6 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from lilacsill.hosted.api.figures import per_s
 from lilacsill.hosted.decisions.directory import Directory, Refusal
 from lilacsill.hosted.decisions.excess import LEARNED, Excess, beyond_weight
 from lilacsill.hosted.decisions.fair import FairTurns, jain
@@ -120,15 +119,6 @@
 # Limits
 
 
-@pytest.mark.parametrize("rows, wall_s, rate", [
-    ([], 600.0, 0.0), ([(10, 300)], 630.0, 10.0), ([(10, 5)], 600.2, 5.0), ([(9, 600), (10, 300)], 630.0, 10.0),
-    ([(9, 600)], 630.0, 6.7), ([(8, 600)], 630.0, 0.0), ([(3, 1), (9, 60), (10, 0)], 600.0, 1.0),
-])
-def test_what_is_asked_a_second_is_of_this_minute_and_the_last(
-        rows: list[tuple[int, int]], wall_s: float, rate: float) -> None:
-    assert per_s([Minute(at, requests) for at, requests in rows], wall_s) == rate
-
-
 @given(st.lists(st.tuples(st.sampled_from(["take", "give"]), st.integers(0, 5000)), max_size=60), st.integers(1, 8),
        st.integers(0, 9000), st.floats(0.05, 1))
 def test_holdings_never_pass_their_limits_and_come_back_to_nothing(
