--- a/lilacsill/hosted/api/figures.py
+++ b/lilacsill/hosted/api/figures.py
@@ -5,17 +5,17 @@
 from typing import Any
 
 from ..decisions.directory import Directory
-from ..decisions.usage import Minute
 from ..messages import PoolFigures
 from ..supervisor.workers import Workers, WorkerState
+from ..worker.process import REPORT_S
 
 MOST = 100  # rows told of tenants and of pools
 COUNTED = ("requests", "served", "in_aim", "failed")
 
 
 def figures(revision: int, directory: Directory, workers: Workers) -> dict[str, Any]:
-    """As /v1/status tells them. Parts are of those that are busy: `weight_part` is what a tenant may have where all
-    want the core, `cpu_part` what it has had in the last hour."""
+    """As /v1/status tells them. `per_s` is smoothed over the last seconds. Parts are of those that are busy:
+    `weight_part` is what a tenant may have where all want the core, `cpu_part` what it has had in the last hour."""
     in_flight = _in_flight(workers)
     tenants = []
     pools: dict[str, dict[str, Any]] = {name: _pool(name, workers) for name in directory.pools}
@@ -26,8 +26,9 @@
         total = workers.account.totals(tenant.uid)
         if not total.requests and tenant.uid not in in_flight:
             continue
+        asked = sum(w.demand.get(tenant.uid, 0.0) for w in workers.states)  # between two reports
         row = {"name": name, "pool": tenant.spec.pool, "state": tenant.spec.state.value, "weight": tenant.spec.weight,
-               "quota_per_s": tenant.spec.quota_per_s, "per_s": _per_s(workers.account.of(tenant.uid)),
+               "quota_per_s": tenant.spec.quota_per_s, "per_s": round(asked / REPORT_S, 1),
                "in_flight": in_flight.get(tenant.uid, 0), **{c: getattr(total, c) for c in COUNTED},
                "refused": sum(total.refused.values()), "cpu_s": round(total.cpu_us / 1e6, 3)}
         tenants.append(row)
@@ -72,9 +73,3 @@
             "latency_ms": max((f.latency_ms for f in seen), default=0.0),
             "base_ms": max((f.base_ms for f in seen), default=0.0),
             "requests": 0, "served": 0, "in_aim": 0, "failed": 0, "refused": 0}
-
-
-def _per_s(rows: list[Minute]) -> float:
-    """Asked a second in the last whole minute; before there is one, in the minute that has begun."""
-    latest = rows[-2:-1] or rows[-1:]
-    return round(latest[0].requests / 60, 1) if latest else 0.0
