--- a/lilacsill/hosted/worker/front.py
+++ b/lilacsill/hosted/worker/front.py
@@ -78,7 +78,7 @@
         return True
 
     def give_up(self) -> None:
-        """Its turn has not come in time. It is told so unread, at a fraction of what reading would cost."""
+        """Its turn has not come in time. It is told so unread: no parsing, no routing."""
         self.waiting_since = None
         if self.stream is not None and self.open:
             self._server.tenancy.refused(self.tenant, "turn")
