A door for operators, and a drain by the same mechanism as the stop

Change: lilacsill/admin answers /-/ready, /-/drain and /-/resume, with descriptors of its own and at most 12 callers of 2 s; inbound/leave.py is the one way to take leave, for the drain and for the stop. A stop no longer closes connections that have been idle for less than 100 ms: one just accepted is about to ask.

--- /dev/null
+++ b/lilacsill/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' door: imported only where an address is named for it."""
--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -31,6 +31,7 @@
     settings: Settings
     connect_timeout_us: int
     conn_idle_us: int
+    admin: Address | None = None  # where operators call; None: nowhere
 
 
 def load(env: Mapping[str, str], clock: Clock) -> Config:
@@ -60,6 +61,7 @@
 def _config(doc: dict[str, Any], env: Mapping[str, str], clock: Clock) -> Config:
     facts = doc["settings"]
     allowed = facts["allowed"]
+    admin = env.get("RELAY_ADMIN_ADDR") or doc.get("admin_addr")
     parser = ListingParser(clock, tuple(facts.get("localities") or ()), tuple(facts.get("skus") or ()))
     return Config(
         name=str(doc.get("name") or env.get("RELAY_NAME") or ""),
@@ -73,4 +75,5 @@
         settings=replace(settings_from(facts), can_tell=False),
         connect_timeout_us=int(allowed["connectTimeoutUs"]),
         conn_idle_us=int(allowed["connIdleUs"]),
+        admin=parse_address(admin) if admin else None,
     )
--- a/lilacsill/hosted/worker/process.py
+++ b/lilacsill/hosted/worker/process.py
@@ -23,7 +23,7 @@
 from ...admission.settings import AdmissionSettings, Budget, Timeouts
 from ...clock import Clock
 from ...descriptors import Spare
-from ...inbound.server import DrainTimes
+from ...inbound.leave import DrainTimes
 from ...operator.file import load as load_operator
 from ..decisions.directory import Directory
 from ..messages import (
--- a/lilacsill/inbound/downstream.py
+++ b/lilacsill/inbound/downstream.py
@@ -40,9 +40,11 @@
 
     handler: RequestHandler
     validator: Validator
-    draining: bool
     open_request_ids: set[bytes]
 
+    @property
+    def draining(self) -> bool: ...
+
     def entered(self, connection: DownstreamConnection, state: State) -> None:
         """The connection stands differently from now on."""
 
--- a/lilacsill/inbound/server.py
+++ b/lilacsill/inbound/server.py
@@ -5,7 +5,6 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
 from typing import Protocol
 
 from ..address import Address
@@ -16,20 +15,12 @@
 from ..descriptors import Spare
 from .accept import AcceptLoop, listen
 from .downstream import DownstreamConnection, RequestHandler, Validator
+from .leave import POLL_S, DrainTimes, Leave
 from .refusals import Refusals
 
 SWEEP_S = 0.25  # all time limits of connections are looked at together, so far apart
 TICK_S = 0.002
-POLL_S = 0.01  # while the last requests end
-
-
-@dataclass(slots=True, frozen=True)
-class DrainTimes:
-    """The stages of a stop, in seconds from its start."""
-
-    idle_s: float  # then idle connections are closed
-    serve_s: float  # until then new connections are served
-    end_s: float  # then all is over
+RESTED_US = 100_000  # idle for so long before it is closed in a drain: one just accepted or answered is about to ask
 
 
 class IdleUpstreams(Protocol):
@@ -57,7 +48,7 @@
         self._most_advice_s = most_advice_s  # 0: a refusal carries none
         self.connections: dict[Record, DownstreamConnection] = {}
         self.open_request_ids: set[bytes] = set()  # of the requests in hand
-        self.draining = False  # answers ask the client to close
+        self.leave = Leave(self._close_idle)
         self.refusals = Refusals(refusing)
         self._accepting: AcceptLoop | None = None
 
@@ -73,6 +64,11 @@
         self._sweep()
         return port
 
+    @property
+    def draining(self) -> bool:
+        """Answers ask the client to close, and health says no."""
+        return self.leave.on
+
     # Arrivals
 
     def accepts_more(self) -> bool:
@@ -153,17 +149,21 @@
 
     # The end
 
+    def send_away(self, idle_s: float) -> None:
+        """An operator's drain: goes on until `take_back`, and ends nothing but connections."""
+        self.leave.begin(idle_s)
+
+    def take_back(self) -> None:
+        self.leave.end()
+
     async def drain(self, times: DrainTimes) -> None:
         """Take leave of the clients: nothing that was taken is lost."""
         loop = self._loop
         began = loop.time()
-        self.draining = True
-        await asyncio.sleep(times.idle_s)
-        # A request that crosses this close is sent again on a new connection; these still come.
-        self._close_idle()
-        await asyncio.sleep(times.serve_s - times.idle_s)
+        # A request that crosses the close of an idle connection is sent again on a new one; these still come.
+        self.leave.begin(times.idle_s, final=True)
+        await asyncio.sleep(times.serve_s)
         while self.connections and loop.time() < began + times.end_s:
-            self._close_idle()
             await asyncio.sleep(POLL_S)
         self.handler.fail_all()
         while (any(not c.written for c in self.connections.values())
@@ -175,6 +175,7 @@
     def stop(self) -> None:
         if self._sweeping is not None:
             self._sweeping.cancel()
+        self.leave.stop()
         if self._accepting is not None:
             self._accepting.stop()
         with suppress(OSError):
@@ -182,5 +183,6 @@
         self._spare.release()
 
     def _close_idle(self) -> None:
-        for connection in [c for c in self.connections.values() if c.idle]:
+        rested = self._clock.now() - RESTED_US
+        for connection in [c for c in self.connections.values() if c.record.since <= rested and c.idle]:
             connection.close()
--- a/lilacsill/run.py
+++ b/lilacsill/run.py
@@ -22,12 +22,14 @@
 from .config import Config, ConfigError, load_again
 from .descriptors import EXHAUSTED, Spare
 from .discovery.watch import Discovery
-from .inbound.server import SWEEP_S, DrainTimes, Server
+from .inbound.leave import DrainTimes
+from .inbound.server import SWEEP_S, Server
 from .inbound.validation import RequestValidator
 from .outbound.attempts import Backends
 from .outbound.pool import SETTLE_US, Pool
 
 if TYPE_CHECKING:
+    from .admin.door import Door
     from .operator.sections import OperatorFile
     from .recorder.ring import Recorder
 
@@ -68,8 +70,13 @@
 
 
 def budget_for(config: Config) -> Budget:
-    """By what the process holds now; the listener comes on top."""
-    return Budget(descriptors.limit(config.sockets), descriptors.held() + 1)
+    """By what the process holds now; the listener comes on top, and the operators' door where there is one."""
+    base = descriptors.held() + 1
+    if config.admin is not None:
+        from .admin.door import DESCRIPTORS
+
+        base += DESCRIPTORS
+    return Budget(descriptors.limit(config.sockets), base)
 
 
 def assemble(config: Config, clock: Clock, timeouts: Timeouts | None = None, settle_us: int = SETTLE_US,
@@ -115,6 +122,7 @@
     parts.agent.start(config.known)
     try:
         port = parts.server.listen(config.listen)
+        door = _open_door(config, parts)
     except OSError as e:
         print(f"lilacsill: cannot listen: {e}", file=sys.stderr)
         return 1
@@ -124,10 +132,25 @@
     await parts.server.drain(DrainTimes(IDLE_S, SERVE_S, longest_s + FINISH_S))
     if recorder is not None:
         recorder.close()
+    if door is not None:
+        door.stop()
     log.info("%s stops", config.name)
     return 0
 
 
+def _open_door(config: Config, parts: Parts) -> Door | None:
+    """Raises OSError."""
+    if config.admin is None:
+        return None
+    from .admin.door import Door
+    from .admin.operations import Operations
+
+    door = Door(Operations(parts.server).carry_out, parts.spare, parts.server.short_of_descriptors)
+    port = door.listen(config.admin)
+    log.info("%s answers operators on %s:%d", config.name, config.admin.host, port)
+    return door
+
+
 def _record(config: Config, clock: Clock, options: Options, agent: Agent) -> Recorder | None:
     if options.operator is None or not options.operator.recorder.path:
         return None
--- /dev/null
+++ b/tests/admin/test_calls.py
@@ -0,0 +1,26 @@
+"""Which method and path are which call, and which no is owed to all others."""
+from __future__ import annotations
+
+import pytest
+
+from lilacsill.admin.calls import Call, Refused, Verb, read_call
+
+
+@pytest.mark.parametrize(("method", "target", "call"), [
+    ("GET", "/-/ready", Call(Verb.READY)),
+    ("POST", "/-/drain", Call(Verb.DRAIN)),
+    ("POST", "/-/resume?by=shift-2", Call(Verb.RESUME)),
+])
+def test_calls(method: str, target: str, call: Call) -> None:
+    assert read_call(method, target) == call
+
+
+@pytest.mark.parametrize(("method", "target", "status"), [
+    ("GET", "/", 404), ("GET", "/-/", 404), ("GET", "/-/nothing", 404), ("POST", "/-/drain/", 404),
+    ("GET", "/_health", 404), ("GET", "/-/drain", 405), ("POST", "/-/ready", 405), ("PUT", "/-/resume", 405),
+])
+def test_what_is_no_call(method: str, target: str, status: int) -> None:
+    with pytest.raises(Refused) as e:
+        read_call(method, target)
+    assert e.value.status == status
+    assert bool(e.value.allow) == (status == 405)
--- /dev/null
+++ b/tests/admin/test_door.py
@@ -0,0 +1,137 @@
+"""The operators' door on loopback: answered whatever others do there, and the drain that it begins."""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+from lilacsill.address import Address
+from lilacsill.admin import door as door_module
+from lilacsill.admin.door import CALLERS, Door
+from lilacsill.admin.operations import Operations
+from lilacsill.descriptors import Spare
+from tests.loopback import Conversation, World, post, world
+
+
+@contextlib.asynccontextmanager
+async def opened(w: World) -> AsyncIterator[int]:
+    door = Door(Operations(w.server).carry_out, Spare(), lambda what: None)
+    try:
+        yield door.listen(Address("127.0.0.1", 0))
+    finally:
+        door.stop()
+
+
+async def connect(port: int) -> Conversation:
+    return Conversation(*await asyncio.open_connection("127.0.0.1", port))
+
+
+async def call(port: int, line: str) -> int:
+    caller = await connect(port)
+    await caller.write(f"{line} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    answer = await caller.read()
+    assert answer.headers["connection"] == "close"
+    json.loads(answer.body)
+    await caller.ended()
+    caller.close()
+    return answer.status
+
+
+HEALTH = b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+async def health(w: World) -> int:
+    return (await (await w.ask(HEALTH)).read()).status
+
+
+def test_answers_and_errors(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w, opened(w) as port:
+            assert await call(port, "GET /-/ready") == 200
+            assert await call(port, "POST /-/ready") == 405
+            assert await call(port, "GET /nothing") == 404
+            assert await call(port, "GET /-/ready\x01") == 400
+
+    asyncio.run(run())
+
+
+def test_callers_that_never_finish_hold_nobody_up(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w, opened(w) as port:
+            silent = [await connect(port) for _ in range(2 * CALLERS)]
+            for caller in silent[::2]:
+                await caller.write(b"GET /-/rea")
+            assert await call(port, "GET /-/ready") == 200
+            await silent[0].ended()  # who waited for longest made way
+            for caller in silent:
+                caller.close()
+
+    asyncio.run(run())
+
+
+def test_a_caller_has_its_time_and_no_more(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w, opened(w) as port:
+            caller = await connect(port)
+            await caller.write(b"GET /-/ready HTTP/1.1\r\n")
+            assert (await caller.read()).status == 408
+            await caller.ended()
+            caller.close()
+
+    before, door_module.CALL_S = door_module.CALL_S, 0.01
+    try:
+        asyncio.run(run())
+    finally:
+        door_module.CALL_S = before
+
+
+def test_a_drain_serves_on_and_closes_and_a_resume_ends_it(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w, opened(w) as port:
+            idle, asking = await w.client(), await w.ask(post())
+            got = await w.request()
+            assert await health(w) == 200
+            for _ in range(2):
+                assert await call(port, "POST /-/drain") == 200
+            assert await health(w) == 503
+            await got.answer()
+            answer = await asking.read()
+            assert (answer.status, answer.headers["connection"]) == (200, "close")
+            late = await w.ask(post(Request_Id="late"))  # the front has not noticed yet
+            await (await w.request()).answer()
+            assert (await late.read()).status == 200
+            await idle.ended()
+            assert await call(port, "POST /-/resume") == 200
+            assert await health(w) == 200
+            kept = await w.ask(post(Request_Id="kept"))
+            await (await w.request()).answer()
+            assert "connection" not in (await kept.read()).headers
+
+    asyncio.run(run())
+
+
+def test_a_request_in_hand_outlasts_the_closing_of_idle_connections(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w, opened(w) as port:
+            asking = await w.ask(post())
+            got = await w.request()
+            idle = await w.client()
+            assert await call(port, "POST /-/drain") == 200
+            await idle.ended()
+            await got.answer()
+            assert (await asking.read()).status == 200
+
+    asyncio.run(run())
+
+
+def test_resume_has_no_say_in_a_stop(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w, opened(w) as port:
+            assert await call(port, "POST /-/resume") == 200  # without a drain nothing changes
+            w.server.leave.begin(0.0, final=True)
+            assert await call(port, "POST /-/resume") == 200
+            assert await health(w) == 503
+
+    asyncio.run(run())
