Backends taken out by operators, kept beside what discovery says

Cause: calls to take a backend out were answered 404, and the only state of a backend was what the list said. Change: the event MaintenanceChanged; membership keeps who is out and when that changed, who comes back is cold and forgets its old evidence; outbound holds back connections that come up later; where all are out a request is refused at once.

--- a/brasshead/interface.py
+++ b/brasshead/interface.py
@@ -211,6 +211,15 @@
     about: Tenant | None
 
 
+@dataclass(slots=True)
+class MaintenanceChanged:
+    """An operator takes a backend out, or lets it serve again; whatever lists say, it stays out till then and
+    comes back cold. One that no list has named yet may be taken out, too."""
+
+    backend: BackendId
+    out: bool
+
+
 @dataclass(slots=True)
 class RequestArrived:
     """A request is now this balancer's; it must get one final answer before patience_us is up."""
@@ -273,8 +282,8 @@
     payload: bytes
 
 
-Event = (BackendsChanged | TenantChanged | RequestArrived | StreamStarted | AttemptEnded | ClientGone
-         | TimerFired | ProbeEnded | PeerMessage)
+Event = (BackendsChanged | TenantChanged | MaintenanceChanged | RequestArrived | StreamStarted | AttemptEnded
+         | ClientGone | TimerFired | ProbeEnded | PeerMessage)
 
 
 @dataclass(slots=True, frozen=True)
--- a/brasshead/logic/admission.py
+++ b/brasshead/logic/admission.py
@@ -57,9 +57,9 @@
             return None
         pair = self.sampler.two(r, pool) if pool else None
         if pair is None:
-            # Held while nobody may be sent to, and a little while all are busy; else refused at once.
-            busy = bool(pool) and self.sampler.full.busy
-            if r.sends == 0 and now < r.hold_until - self.core.margin and not busy:
+            # Held while nobody may be sent to, but for operators, or a while where all are busy.
+            busy, closed = bool(pool) and self.sampler.full.busy, not pool and bool(self.sampler.members.out)
+            if r.sends == 0 and now < r.hold_until - self.core.margin and not busy and not closed:
                 return self.core.later(min(now + HOLD_US, r.hold_until - self.core.margin), self._held, r)
             return self._wait(r) if busy and self._can_wait(r) else self.attempts.finish(r)
         self.asking.ask(r, pair)
--- a/brasshead/logic/asking.py
+++ b/brasshead/logic/asking.py
@@ -39,8 +39,9 @@
 
     def look_again(self, s: Server) -> None:
         """Ask one whose answers are overdue, unless it has just been heard of."""
-        if self.sampler.asks_now() and not s.asked_at and self.core.now - s.heard_at > self.sampler.ask_us:
-            s.asked_at = self.core.now
+        now = self.core.now
+        if not (s.out or s.asked_at) and self.sampler.asks_now() and now - s.heard_at > self.sampler.ask_us:
+            s.asked_at = now
             self.core.actions.append(Probe(s.id))
 
     def _unanswered(self, what: tuple[Request, int]) -> None:
--- a/brasshead/logic/attempts.py
+++ b/brasshead/logic/attempts.py
@@ -114,11 +114,9 @@
         if e.outcome in NEVER_RAN:
             r.may_have_run = [m for m in r.may_have_run if m[0] != e.attempt]
         if e.finished and not r.done:
-            r.done = True
-            self._cancel(r)
-        if r.done:
-            if not r.out:
-                del self.requests[r.id]
+            self._drop(r)
+        if r.done and not r.out:
+            self.requests.pop(r.id, None)
         elif not r.out:
             # Full servers turn attempts away in no time: unpaid repeats of those made twenty attempts of each
             # request. A failed connect loads no server and waits out its own time-out.
@@ -139,12 +137,10 @@
     def gone(self, e: ClientGone) -> None:
         r = self.requests.get(e.request)
         if r is not None and not r.done:
-            r.done = True
             self._drop(r)
 
     def finish(self, r: Request) -> None:
         """Give the one final answer."""
-        r.done = True
         if r.may_refuse():
             advice = int(2 * self.table.typical) if self.core.settings.retry_after else 0
             self.core.actions.append(Refuse(r.id, min(advice, self.core.settings.max_retry_after_us)))
@@ -153,6 +149,7 @@
         self._drop(r)
 
     def _drop(self, r: Request) -> None:
+        r.done = True
         self.waiting.discard(r.id)
         self._cancel(r)
         if not r.out:
--- a/brasshead/logic/balancer.py
+++ b/brasshead/logic/balancer.py
@@ -5,10 +5,7 @@
 from random import Random
 from typing import Any
 
-from ..interface import (
-    Action, AttemptEnded, BackendsChanged, ClientGone, Event, PeerMessage, ProbeEnded, RequestArrived,
-    ServerBelief, Settings, StreamStarted, TenantChanged, TimerFired,
-)
+from .. import interface as q
 from .admission import Admission
 from .asking import Asking
 from .attempts import Attempts
@@ -25,7 +22,7 @@
 class Balancer:
     """Hand every event to handle() in order; carry out the actions it returns in order."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: q.Settings, seed: int) -> None:
         self.core = core = Core(settings, seed)
         self.table = LoadTable(settings)
         self.members = Membership(core)
@@ -39,13 +36,14 @@
         asking = Asking(core, self.members, self.sampler)
         admission = Admission(core, self.sampler, asking, self.attempts, shares)
         self._handlers: dict[type, Callable[[Any], None]] = {
-            BackendsChanged: self._listed, TenantChanged: shares.changed, RequestArrived: admission.arrived,
-            AttemptEnded: self.attempts.ended, StreamStarted: self.attempts.streaming,
-            ClientGone: self.attempts.gone, TimerFired: core.timer, ProbeEnded: asking.probed,
-            PeerMessage: peers.told,
+            q.BackendsChanged: self._listed, q.MaintenanceChanged: self._listed,
+            q.TenantChanged: shares.changed, q.RequestArrived: admission.arrived,
+            q.AttemptEnded: self.attempts.ended, q.StreamStarted: self.attempts.streaming,
+            q.ClientGone: self.attempts.gone, q.TimerFired: core.timer, q.ProbeEnded: asking.probed,
+            q.PeerMessage: peers.told,
         }
 
-    def handle(self, now: int, event: Event) -> list[Action]:
+    def handle(self, now: int, event: q.Event) -> list[q.Action]:
         """Take one event at time now; return what to do about it."""
         handler = self._handlers.get(type(event))
         if handler is None:
@@ -54,16 +52,16 @@
         handler(event)
         return self.core.actions
 
-    def beliefs(self, now: int) -> list[ServerBelief]:
+    def beliefs(self, now: int) -> list[q.ServerBelief]:
         """What is held true of each backend that may get new work, for those who explain refusals."""
-        return [ServerBelief(
+        return [q.ServerBelief(
             s.id, len(s.open), s.ghosts.at(now), self.table.others(s, now),
             now - s.heard_at if s.heard_at else -1, s.pace,
             self.sampler.health.admits(s, now, self.table.typical)) for s in self.members.ready]
 
-    def _listed(self, e: BackendsChanged) -> None:
+    def _listed(self, e: q.BackendsChanged | q.MaintenanceChanged) -> None:
         before = set(self.members.ready)
-        if self.members.changed(e):
+        if self.members.maintained(e) if isinstance(e, q.MaintenanceChanged) else self.members.changed(e):
             ready = self.members.ready
             if ready and before.isdisjoint(ready):
                 self.attempts.start.begin(self.core.now, len(ready))
--- a/brasshead/logic/cold.py
+++ b/brasshead/logic/cold.py
@@ -27,10 +27,10 @@
 
     def warmth(self, s: Server, now: int) -> float:
         """Share of its capacity a server surely has: the slowest ramp the settings allow."""
-        age = now - s.started_at
-        if not s.started_at or age >= self.warm_up:
+        started = max(s.started_at, s.back_at)
+        if not started or now - started >= self.warm_up:
             return 1.0
-        return self.start + (1.0 - self.start) * max(0, age) / self.warm_up
+        return self.start + (1.0 - self.start) * max(0, now - started) / self.warm_up
 
     def look(self, servers: list[Server], now: int, pace_us: float) -> None:
         """Who is cold now. `pace_us`: what a warm server needs for a request, 0 where nothing tells it."""
--- a/brasshead/logic/entities.py
+++ b/brasshead/logic/entities.py
@@ -1,7 +1,9 @@
 """What is known of one backend, and of one request in hand."""
 from __future__ import annotations
 
-from ..interface import Backend, BackendId, Effect, Group, RequestArrived, RequestClass
+from zlib import crc32
+
+from ..interface import Backend, BackendId, Effect, Group, RequestArrived, RequestClass, State
 from .evidence import Fading
 
 SECOND = 1_000_000
@@ -11,16 +13,17 @@
 class Server:
     """What this balancer knows of one backend."""
 
-    __slots__ = ("id", "zone", "cell", "hint", "state", "started_at", "open", "ghosts", "bounced",
+    __slots__ = ("id", "tag", "zone", "cell", "hint", "state", "started_at", "open", "ghosts", "bounced",
                  "others", "heard_at", "latency", "load", "samples", "answered_at", "ended_at",
                  "failing", "streak", "out_until", "out_us", "allowance", "asked_at", "askers",
-                 "pace", "service", "news_at", "sent_at", "warmth")
+                 "pace", "service", "news_at", "sent_at", "warmth", "out", "back_at")
 
     def __init__(self, b: Backend, now: int) -> None:
-        self.id = b.id
+        self.id, self.tag = b.id, crc32(name_of(b.id).encode())
         self.open: dict[tuple[int, int], int] = {}  # own attempts out, oldest first: when each was sent
         self.asked_at = 0  # when the probe now out was sent; 0: none is
         self.askers: list[Request] = []  # requests that wait for its echo
+        self.out, self.back_at = False, 0  # by an operator; when it was let serve again
         self.adopt(b)
         self.reset(now)
 
@@ -28,6 +31,10 @@
         self.zone, self.cell, self.state = b.zone, b.cell, b.state
         self.hint, self.started_at = max(b.capacity_hint, 1e-6), b.started_at
 
+    @property
+    def serves(self) -> bool:
+        return self.state is State.READY and not self.out
+
     def own(self, now: int) -> float:
         """Own attempts out, and what is left of those that may run on though they have ended here."""
         return len(self.open) + self.ghosts.at(now)
--- a/brasshead/logic/health.py
+++ b/brasshead/logic/health.py
@@ -1,4 +1,4 @@
-"""Health: which servers are left out of sampling, on strong evidence only, and how they come back."""
+"""Health: who looks ill, and for how long."""
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -22,8 +22,7 @@
     def __init__(self, rng: Random, log: Callable[[str], None], siblings: int) -> None:
         self.rng, self.log = rng, log
         self.rarely = min(RARELY_MOST, max(1.0, siblings / RARELY))
-        self.shared = False
-        self.stood_at = 0
+        self.shared, self.stood_at = False, 0
 
     def look(self, servers: list[Server], now: int, typical: float, stood_at: int) -> None:
         """When most look ill the cause is shared, and the rest would drown: then none is left out."""
--- a/brasshead/logic/homes.py
+++ b/brasshead/logic/homes.py
@@ -7,9 +7,8 @@
 from __future__ import annotations
 
 from heapq import nlargest
-from zlib import crc32
 
-from .entities import Server, name_of
+from .entities import Server
 
 HOMES = 3  # of a key; the third stands in for one that may not be sampled
 KEYS = 4096  # remembered; one that is not costs a look at the whole list
@@ -33,7 +32,7 @@
     def listed(self, ready: list[Server]) -> None:
         """These may be homes from now on."""
         self._homes.clear()
-        self._seeds = [(crc32(name_of(s.id).encode()), s) for s in ready]
+        self._seeds = [(s.tag, s) for s in ready]
 
     def of(self, key: int) -> tuple[Server, ...]:
         """The homes of a key, first choice first; none for key 0, which stands for no key."""
--- a/brasshead/logic/membership.py
+++ b/brasshead/logic/membership.py
@@ -1,11 +1,9 @@
 """Membership: who is there, as lists tell it, and who is forgotten."""
 from __future__ import annotations
 
-from zlib import crc32
-
-from ..interface import BackendId, BackendsChanged, Discovery, ListKind, State, Watch
+from ..interface import BackendId, BackendsChanged, Discovery, ListKind, MaintenanceChanged, State, Watch
 from .core import Core
-from .entities import SECOND, Server, name_of
+from .entities import SECOND, Server
 
 # Discovery takes its callers in turn. Forty that all began at once and came back within two seconds kept it
 # full by failing: for 15 s few heard anything. So they spread, and back off to what it can bear.
@@ -21,6 +19,8 @@
         self.servers: dict[BackendId, Server] = {}
         self.ready: list[Server] = []
         self.tags: dict[int, Server] = {}
+        self.out: set[BackendId] = set()  # by operators, whatever lists say
+        self.back: dict[BackendId, int] = {}  # when that last changed; who comes back is cold
         self.watching = self.watch_planned = False
         self.spread_us = min((core.settings.siblings - 1) * CALL_US, WATCH_MAX_US // 2)
         self.watch_wait = self.watch_first = max(WATCH_MIN_US, self.spread_us)
@@ -35,34 +35,41 @@
             return False
         if e.kind is not ListKind.CACHED:
             self.watch_wait = self.watch_first
-        named = set()
         for b in e.backends:
-            named.add(b.id)
-            old = self.servers.get(b.id)
-            if old is None:
-                self.servers[b.id] = self.tags[crc32(name_of(b.id).encode())] = Server(b, now)
-                continue
-            if b.started_at != old.started_at:
-                old.reset(now)  # a new process under the same id
-            old.adopt(b)
+            s = self.servers.get(b.id)
+            if s is None:
+                s = self.servers[b.id] = Server(b, now)
+                s.out, s.back_at = b.id in self.out, self.back.get(b.id, 0)
+            elif b.started_at != s.started_at:
+                s.reset(now)  # a new process under the same id
+            s.adopt(b)
         if e.kind is not ListKind.DELTA:
+            named = {b.id for b in e.backends}
             for server in self.servers.values():
                 if server.id not in named:
                     server.state = State.GONE
-        self._forget()
-        self.ready = [x for x in self.servers.values() if x.state is State.READY]
         if self.core.settings.discovery is Discovery.ASK and not self.watching:
             first = e.kind is ListKind.CACHED and self.spread_us
             self._watch_in(int(self.spread_us * self.core.rng.random()) if first else 0)
-        return True
+        return self._settle()
 
-    def _forget(self) -> None:
+    def maintained(self, e: MaintenanceChanged) -> bool:
+        if e.out != (e.backend in self.out):
+            (self.out.add if e.out else self.out.remove)(e.backend)
+            self.back[e.backend] = now = self.core.now
+            s = self.servers.get(e.backend)
+            if s is not None:
+                s.out, s.back_at = e.out, now
+                s.reset(now)  # what is known is of the process before, and lists tell of the next one late
+        return self._settle()
+
+    def _settle(self) -> bool:
         """Drop who is gone: ids are ever new. One with attempts or askers out goes when they have ended."""
-        for s in [s for s in self.servers.values() if s.state is State.GONE and not s.open and not s.askers]:
-            del self.servers[s.id]
-            tag = crc32(name_of(s.id).encode())
-            if self.tags.get(tag) is s:
-                del self.tags[tag]
+        self.servers = {
+            i: s for i, s in self.servers.items() if s.state is not State.GONE or s.open or s.askers}
+        self.ready = [s for s in self.servers.values() if s.serves]
+        self.tags = {s.tag: s for s in self.servers.values()}
+        return True
 
     def _watch_in(self, us: int) -> None:
         if not us:
--- a/brasshead/logic/peers.py
+++ b/brasshead/logic/peers.py
@@ -2,11 +2,10 @@
 from __future__ import annotations
 
 from struct import Struct
-from zlib import crc32
 
 from ..interface import PeerMessage, Settings, Tell
 from .core import Core
-from .entities import Server, name_of
+from .entities import Server
 from .load_table import LoadTable
 from .membership import Membership
 
@@ -32,7 +31,7 @@
     def tell(self, s: Server, held: float) -> None:
         """Tell some peers, drawn anew each time, what a server has just reported; fewer while all idle."""
         numbers = (max(0, min(0xFFFF, round(x))) for x in (held, s.service))
-        note = NOTE.pack(crc32(name_of(s.id).encode()), *numbers)
+        note = NOTE.pack(s.tag, *numbers)
         for _ in range(round(self.tells * min(1.0, self.table.mean / 2))):
             peer = int(self.core.rng.random() * (self.core.settings.siblings - 1))
             self.core.actions.append(Tell(peer + (peer >= self.core.settings.me), note))
--- a/brasshead/logic/sampling.py
+++ b/brasshead/logic/sampling.py
@@ -1,7 +1,7 @@
 """The sampling set and the band choice: who may be sampled, and which of two samples takes the request."""
 from __future__ import annotations
 
-from ..interface import Effect, Group, State
+from ..interface import Effect, Group
 from .bands import cutoffs, lower_band
 from .cold import ColdBudget
 from .core import Core
@@ -37,8 +37,7 @@
                          for c in settings.classes}
         self.idle = IDLE / settings.siblings
         # Asking both samples of each request must be cheap, and there must be something to learn by it.
-        self.asks = (settings.can_probe and table.column >= 0
-                     and 2 * settings.prices.probe <= PROBE_SPEND)
+        self.asks = settings.can_probe and table.column >= 0 and 2 * settings.prices.probe <= PROBE_SPEND
         self.ask_us = int(ASK_SHARE * min(c.aim_us for c in settings.classes))
         # So young an entry is known, and no free pass is needed to learn of it.
         self.known_us = self.ask_us if self.asks else FORGET_US if tells else -1
@@ -62,7 +61,7 @@
 
     def may_go(self, r: Request, s: Server) -> bool:
         """Rules 2 and 3: asked again when an echo is in, for lists and windows change while it is awaited."""
-        if s.state is not State.READY:
+        if not s.serves:
             return False
         if not r.may_have_run or r.cls.effect is Effect.SAFE:
             return True
@@ -80,8 +79,7 @@
         silence = (now - s.news_at) * r.luck * self.cold.warmth(s, now) if self.tells else 0
         if silence > 2 * max(FRESH_US, self.core.now - self.table.news_at):
             return False
-        return (self.cold.admits(s, now, r.luck)
-                and self.health.admits(s, self.core.now, self.table.typical))
+        return self.cold.admits(s, now, r.luck) and self.health.admits(s, now, self.table.typical)
 
     def two(self, r: Request, pool: list[Server]) -> tuple[Server, Server] | None:
         """Two uniform samples with replacement among the servers that are fit for this request."""
--- a/brasshead/logic/slow_start.py
+++ b/brasshead/logic/slow_start.py
@@ -15,8 +15,7 @@
 
     def __init__(self, siblings: int) -> None:
         self._siblings = siblings
-        self.window = 0.0
-        self.out = 0
+        self.window, self.out = 0.0, 0
         self.wanted = 0  # answers until the paces count as learned; 0: they are
         self.answered_at = 0
 
--- a/lilacsill/admin/calls.py
+++ b/lilacsill/admin/calls.py
@@ -3,6 +3,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from urllib.parse import unquote_to_bytes
 
 ROOT = "/-/"
 JSON = "application/json"
@@ -10,13 +11,18 @@
 
 class Verb(Enum):
     READY = "ready"
+    DISABLE = "disable"
+    ENABLE = "enable"
     DRAIN = "drain"
     RESUME = "resume"
 
 
 @dataclass(slots=True, frozen=True)
 class Call:
+    """`backend` is named by DISABLE and ENABLE alone."""
+
     verb: Verb
+    backend: str = ""
 
 
 class Refused(Exception):
@@ -28,6 +34,7 @@
 
 
 PLAIN = {"ready": (Verb.READY, "GET"), "drain": (Verb.DRAIN, "POST"), "resume": (Verb.RESUME, "POST")}
+OF_BACKEND = {"disable": Verb.DISABLE, "enable": Verb.ENABLE}
 
 
 def read_call(method: str, target: str) -> Call:
@@ -35,9 +42,29 @@
     path = target.partition("?")[0]
     if not path.startswith(ROOT):
         raise Refused(404, "no such path")
-    if path[len(ROOT):] not in PLAIN:
+    parts = path[len(ROOT):].split("/")
+    if len(parts) == 1 and parts[0] in PLAIN:
+        verb, allowed = PLAIN[parts[0]]
+        call = Call(verb)
+    elif len(parts) == 3 and parts[0] == "backends" and parts[2] in OF_BACKEND:
+        allowed = "POST"
+        call = Call(OF_BACKEND[parts[2]], _identifier(parts[1]))
+    else:
         raise Refused(404, "no such path")
-    verb, allowed = PLAIN[path[len(ROOT):]]
     if method != allowed:
         raise Refused(405, f"{path} is asked by {allowed}", allow=allowed)
-    return Call(verb)
+    return call
+
+
+def _identifier(segment: str) -> str:
+    """An id may hold any characters, a slash among them, percent-encoded (RFC 3986, 2.1)."""
+    for piece in segment.split("%")[1:]:
+        if len(piece) < 2 or not all(c in "0123456789abcdefABCDEF" for c in piece[:2]):
+            raise Refused(400, "the id is not percent-encoded as it should be")
+    try:
+        name = unquote_to_bytes(segment).decode()
+    except UnicodeDecodeError:
+        raise Refused(400, "the id is no UTF-8") from None
+    if not name:
+        raise Refused(404, "no id is given")
+    return name
--- a/lilacsill/admin/operations.py
+++ b/lilacsill/admin/operations.py
@@ -1,13 +1,21 @@
-"""What operators' calls do, and what they are told."""
+"""What operators' calls do, in this process and in the one beside it of an upgrade."""
 from __future__ import annotations
 
+import asyncio
+import logging
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
-from .calls import Call, Verb
+from .calls import Call, Refused, Verb
 from .door import Answer
+from .file import StandingFile
+from .standing import Standing
+
+log = logging.getLogger(__name__)
 
 IDLE_S = 1.5  # of a drain: the front sends new clients for 0.3 s, and most of those that stay ask once more by then
+LOOK_S = 0.1  # a call that the other process took is in force here after so long
 
 
 class Clients(Protocol):
@@ -21,25 +29,94 @@
     def take_back(self) -> None: ...
 
 
+class Backends(Protocol):
+    """The backends' side."""
+
+    def knows(self, backend: str) -> bool: ...
+
+    def maintain(self, backend: str, out: bool) -> None: ...
+
+
 class Operations:
-    """Carries calls out, one at a time."""
+    """Carries calls out, one at a time. The file comes first: what could not be kept is not done."""
 
-    def __init__(self, clients: Clients) -> None:
-        self._clients = clients
+    def __init__(self, clients: Clients, backends: Backends, file: StandingFile) -> None:
+        self._clients, self._backends, self._file = clients, backends, file
+        self._in_force = Standing()
+        self._loop = asyncio.get_running_loop()
+        self._next: asyncio.TimerHandle | None = None
         self._verbs: dict[Verb, Callable[[Call], Answer]] = {
-            Verb.READY: self._ready, Verb.DRAIN: self._drain, Verb.RESUME: self._resume}
+            Verb.READY: self._ready, Verb.DRAIN: self._drain, Verb.RESUME: self._resume,
+            Verb.DISABLE: self._disable, Verb.ENABLE: self._enable}
+
+    def start(self) -> None:
+        """Take over what is in force, and follow it from now on."""
+        self._look()
+
+    def stop(self) -> None:
+        if self._next is not None:
+            self._next.cancel()
 
     def carry_out(self, call: Call) -> Answer:
         """What is told with a yes. Raises Refused."""
         return self._verbs[call.verb](call)
 
+    def _look(self) -> None:
+        self._next = self._loop.call_later(LOOK_S, self._look)
+        self._file.look()
+        self._enforce()
+
+    def _change(self, change: Callable[[Standing], Standing]) -> None:
+        try:
+            self._file.update(change)
+        except OSError as e:
+            log.error("an operator's call is refused, its change could not be kept: %s", e)
+            raise Refused(503, f"the change could not be kept: {e.strerror or e}") from None
+        self._enforce()
+
+    def _enforce(self) -> None:
+        """Bring this process from what was in force to what is."""
+        before, now = self._in_force, self._file.standing
+        if before == now:
+            return
+        self._in_force = now
+        for backend in now.out - before.out:
+            log.info("backend %s is out of service by an operator", backend)
+            self._backends.maintain(backend, True)
+        for backend in before.out - now.out:
+            log.info("backend %s may serve again by an operator", backend)
+            self._backends.maintain(backend, False)
+        if now.draining != before.draining:
+            log.info("clients are %s by an operator", "sent away" if now.draining else "taken back")
+            if now.draining:
+                self._clients.send_away(IDLE_S)
+            else:
+                self._clients.take_back()
+
+    # The calls
+
     def _ready(self, _: Call) -> Answer:
-        return {"ready": True, "draining": self._clients.draining}
+        return {"ready": True, "draining": self._clients.draining, "out": sorted(self._in_force.out)}
 
     def _drain(self, _: Call) -> Answer:
-        self._clients.send_away(IDLE_S)
+        self._change(lambda s: replace(s, draining=True))
         return {"draining": True}
 
     def _resume(self, _: Call) -> Answer:
-        self._clients.take_back()
+        self._change(lambda s: replace(s, draining=False))
         return {"draining": self._clients.draining}
+
+    def _disable(self, call: Call) -> Answer:
+        self._known(call.backend)
+        self._change(lambda s: s.without(call.backend))
+        return {"backend": call.backend, "out": True}
+
+    def _enable(self, call: Call) -> Answer:
+        self._known(call.backend)
+        self._change(lambda s: s.with_(call.backend))
+        return {"backend": call.backend, "out": False}
+
+    def _known(self, backend: str) -> None:
+        """One that left the list while it was out can still be let back."""
+        if not self._backends.knows(backend) and backend not in self._file.standing.out:
+            raise Refused(404, "no list has named such a backend")
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -80,6 +80,15 @@
         """Learn of backends there from now on."""
         self._discovery.move(discovery, self._listed)
 
+    def knows(self, backend: q.BackendId) -> bool:
+        """Whether a list has named it."""
+        return self._backends.knows(backend)
+
+    def maintain(self, backend: q.BackendId, out: bool) -> None:
+        """An operator takes a backend out, or lets it serve again; in force on return."""
+        self._backends.maintain(backend, out)
+        self._post(q.MaintenanceChanged(backend, out))
+
     def beliefs(self) -> list[q.ServerBelief]:
         """What the module holds true of the backends now."""
         return self._balancer.beliefs(self._clock.now())
--- a/lilacsill/outbound/attempts.py
+++ b/lilacsill/outbound/attempts.py
@@ -190,6 +190,7 @@
     def __init__(self, clock: Clock, report_fields: tuple[str, ...], pool: Pool) -> None:
         self.clock, self.report_fields, self.pool = clock, report_fields, pool
         self._members: dict[BackendId, Member] = {}
+        self._out: set[BackendId] = set()  # by operators
         self._probe = UpstreamRequest(b"GET", LOAD if report_fields else b"/ping", [])
 
     def apply(self, listing: Listing) -> list[Backend]:
@@ -208,9 +209,22 @@
                 self.pool.forget(gone)
         return [m.backend for m in listing.members]
 
+    def knows(self, backend: BackendId) -> bool:
+        return backend in self._members
+
+    def maintain(self, backend: BackendId, out: bool) -> None:
+        """Nothing new goes to one that is out, whatever discovery says; connections of before lead to what was there
+        before."""
+        if out:
+            self._out.add(backend)
+        else:
+            self._out.discard(backend)
+        self.pool.forget(backend)
+
     def ready(self, backend: BackendId) -> Member | None:
         member = self._members.get(backend)
-        return member if member is not None and member.backend.state is State.READY else None
+        fit = member is not None and member.backend.state is State.READY and backend not in self._out
+        return member if fit else None
 
     def exchange(self, backend: BackendId, ask: UpstreamRequest, timeout_us: int,
                  done: Callable[[Result], None]) -> Exchange:
--- a/lilacsill/run.py
+++ b/lilacsill/run.py
@@ -121,8 +121,8 @@
     loop.add_signal_handler(signal.SIGHUP, reload.begin)
     parts.agent.start(config.known)
     try:
+        door = _open_door(config, parts)  # what operators have asked for holds from the first request on
         port = parts.server.listen(config.listen)
-        door = _open_door(config, parts)
     except OSError as e:
         print(f"lilacsill: cannot listen: {e}", file=sys.stderr)
         return 1
@@ -143,9 +143,12 @@
     if config.admin is None:
         return None
     from .admin.door import Door
+    from .admin.file import StandingFile
     from .admin.operations import Operations
 
-    door = Door(Operations(parts.server).carry_out, parts.spare, parts.server.short_of_descriptors)
+    operations = Operations(parts.server, parts.agent, StandingFile(os.environ.get("TMPDIR")))
+    operations.start()
+    door = Door(operations.carry_out, parts.spare, parts.server.short_of_descriptors)
     port = door.listen(config.admin)
     log.info("%s answers operators on %s:%d", config.name, config.admin.host, port)
     return door
--- a/tests/admin/test_calls.py
+++ b/tests/admin/test_calls.py
@@ -10,6 +10,9 @@
     ("GET", "/-/ready", Call(Verb.READY)),
     ("POST", "/-/drain", Call(Verb.DRAIN)),
     ("POST", "/-/resume?by=shift-2", Call(Verb.RESUME)),
+    ("POST", "/-/backends/s1/disable", Call(Verb.DISABLE, "s1")),
+    ("POST", "/-/backends/a%2Fb%20%C3%A9%25/enable", Call(Verb.ENABLE, "a/b é%")),
+    ("POST", "/-/backends/disable/disable", Call(Verb.DISABLE, "disable")),
 ])
 def test_calls(method: str, target: str, call: Call) -> None:
     assert read_call(method, target) == call
@@ -18,6 +21,9 @@
 @pytest.mark.parametrize(("method", "target", "status"), [
     ("GET", "/", 404), ("GET", "/-/", 404), ("GET", "/-/nothing", 404), ("POST", "/-/drain/", 404),
     ("GET", "/_health", 404), ("GET", "/-/drain", 405), ("POST", "/-/ready", 405), ("PUT", "/-/resume", 405),
+    ("GET", "/-/backends/s1/disable", 405), ("POST", "/-/backends/s1", 404), ("POST", "/-/backends//enable", 404),
+    ("POST", "/-/backends/a/b/enable", 404), ("POST", "/-/backends/%2/enable", 400),
+    ("POST", "/-/backends/%zz/enable", 400), ("POST", "/-/backends/%ff/enable", 400),
 ])
 def test_what_is_no_call(method: str, target: str, status: int) -> None:
     with pytest.raises(Refused) as e:
--- a/tests/admin/test_door.py
+++ b/tests/admin/test_door.py
@@ -10,18 +10,22 @@
 from lilacsill.address import Address
 from lilacsill.admin import door as door_module
 from lilacsill.admin.door import CALLERS, Door
+from lilacsill.admin.file import StandingFile
 from lilacsill.admin.operations import Operations
 from lilacsill.descriptors import Spare
 from tests.loopback import Conversation, World, post, world
 
 
 @contextlib.asynccontextmanager
-async def opened(w: World) -> AsyncIterator[int]:
-    door = Door(Operations(w.server).carry_out, Spare(), lambda what: None)
+async def opened(w: World, folder: str | None = None) -> AsyncIterator[int]:
+    operations = Operations(w.server, w.agent, StandingFile(folder))
+    door = Door(operations.carry_out, Spare(), lambda what: None)
+    operations.start()
     try:
         yield door.listen(Address("127.0.0.1", 0))
     finally:
         door.stop()
+        operations.stop()
 
 
 async def connect(port: int) -> Conversation:
@@ -135,3 +139,67 @@
             assert await health(w) == 503
 
     asyncio.run(run())
+
+
+def test_a_backend_that_is_out_gets_nothing_until_the_call_back(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=2) as w, opened(w, str(tmp_path)) as port:
+            assert await call(port, "POST /-/backends/s9/disable") == 404
+            assert await call(port, "POST /-/backends/s0/disable") == 200
+            assert await call(port, "POST /-/backends/s0/disable") == 200
+            for number in range(8):
+                asking = await w.ask(post(Request_Id=f"r{number}"))
+                await (await w.backends[1].requests.get()).answer()
+                assert (await asking.read()).status == 200
+            assert w.backends[0].connections == 0
+            assert await call(port, "POST /-/backends/s1/disable") == 200
+            assert (await (await w.ask(post())).read()).status == 503  # at once: nobody is left
+            assert await call(port, "POST /-/backends/s0/enable") == 200
+            asking = await w.ask(post())
+            await (await w.backends[0].requests.get()).answer()
+            assert (await asking.read()).status == 200
+
+    asyncio.run(run())
+
+
+def test_an_attempt_on_its_way_is_not_sent_to_one_that_is_out(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w, opened(w) as port:
+            asking = await w.ask(post())
+            got = await w.request()
+            assert await call(port, "POST /-/backends/s0/disable") == 200
+            got.peer.reset()  # may have run: a repeat would be allowed, were there anybody
+            assert (await asking.read()).status in (502, 503)
+            assert w.nothing_sent()
+
+    asyncio.run(run())
+
+
+def test_a_call_to_one_process_binds_the_other_and_one_that_starts_later(tmp_path: Path) -> None:
+    async def run() -> None:
+        folder = str(tmp_path)
+        async with world(tmp_path) as w, opened(w, folder) as port, world(tmp_path) as other:
+            async with opened(other, folder):
+                assert await call(port, "POST /-/backends/s0/disable") == 200
+                assert await call(port, "POST /-/drain") == 200
+                while not other.server.draining:
+                    await asyncio.sleep(0.01)
+                assert (await (await other.ask(post())).read()).status == 503
+            async with world(tmp_path) as later, opened(later, folder):
+                assert later.server.draining
+                assert (await (await later.ask(post())).read()).status == 503
+            assert await call(port, "POST /-/resume") == 200
+            assert not w.server.draining
+
+    asyncio.run(run())
+
+
+def test_a_promise_that_cannot_be_kept_is_a_no(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w, opened(w, str(tmp_path / "missing")) as port:
+            assert await call(port, "POST /-/backends/s0/disable") == 503
+            asking = await w.ask(post())
+            await (await w.request()).answer()
+            assert (await asking.read()).status == 200
+
+    asyncio.run(run())
