An upgrade on the inherited listener: two processes that count as one agent

Change: RELAY_LISTEN_FD names a listener that is taken as it is; a process that starts beside another waits with its first accept and its yes until discovery has told the list; the one before stops accepting on SIGTERM, serves on what it holds and keeps saying yes to health; each takes from the limit of descriptors what the other holds.

--- a/lilacsill/admin/operations.py
+++ b/lilacsill/admin/operations.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import logging
+import os
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Protocol
@@ -43,6 +44,9 @@
     def __init__(self, clients: Clients, backends: Backends, file: StandingFile) -> None:
         self._clients, self._backends, self._file = clients, backends, file
         self._in_force = Standing()
+        self._me = os.getpid()
+        self._other = 0  # the process of the agent that was there before, or that has come since
+        self._serves = False
         self._loop = asyncio.get_running_loop()
         self._next: asyncio.TimerHandle | None = None
         self._verbs: dict[Verb, Callable[[Call], Answer]] = {
@@ -53,6 +57,31 @@
         """Take over what is in force, and follow it from now on."""
         self._look()
 
+    @property
+    def beside(self) -> int:
+        """The other process of the agent, while it lives; else 0."""
+        if self._other:
+            try:
+                os.kill(self._other, 0)
+            except OSError:
+                self._other = 0
+        return self._other
+
+    def serves(self) -> None:
+        """This process can serve from now on: the one before it may stop accepting."""
+        self._serves = True
+        try:
+            self._file.update(lambda s: replace(s, serving=self._me))
+        except OSError as e:
+            log.error("the process before this one cannot be told to stop accepting: %s", e)
+        self._enforce()
+
+    def succeeded(self) -> bool:
+        """Whether a younger process of the agent serves."""
+        self._file.look()
+        self._enforce()
+        return self._file.standing.serving not in (0, self._me) and self.beside != 0
+
     def stop(self) -> None:
         if self._next is not None:
             self._next.cancel()
@@ -80,6 +109,8 @@
         if before == now:
             return
         self._in_force = now
+        if now.serving not in (0, self._me):
+            self._other = now.serving
         for backend in now.out - before.out:
             log.info("backend %s is out of service by an operator", backend)
             self._backends.maintain(backend, True)
@@ -96,6 +127,8 @@
     # The calls
 
     def _ready(self, _: Call) -> Answer:
+        if not self._serves:
+            raise Refused(503, "this process does not serve yet")
         return {"ready": True, "draining": self._clients.draining, "out": sorted(self._in_force.out)}
 
     def _drain(self, _: Call) -> Answer:
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -1,6 +1,7 @@
 """The agent: the only caller of the decision module, which carries out what it decides."""
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections import deque
 from collections.abc import Callable
@@ -60,6 +61,7 @@
         self._handling = False
         self._accepted = 0
         self.observer: Observer | None = None
+        self.listed = asyncio.Event()  # discovery has told of the backends
         self._carriers: dict[type, Callable[[Any], None]] = {
             q.Send: self._send, q.Refuse: self._refuse, q.Fail: self._fail, q.Cancel: self._cancel,
             q.SetTimer: self._set_timer, q.Probe: self._probe, q.Watch: self._watch, q.Fetch: self._fetch,
@@ -238,6 +240,7 @@
             return
         if self.observer is not None:
             self.observer.listed(listing)
+        self.listed.set()
         kind = q.ListKind.FULL if listing.complete else q.ListKind.DELTA
         self._post(q.BackendsChanged(kind, self._backends.apply(listing)))
 
--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -32,6 +32,7 @@
     connect_timeout_us: int
     conn_idle_us: int
     admin: Address | None = None  # where operators call; None: nowhere
+    listen_fd: int | None = None  # the clients' listener, inherited; None: one of its own
 
 
 def load(env: Mapping[str, str], clock: Clock) -> Config:
@@ -76,4 +77,5 @@
         connect_timeout_us=int(allowed["connectTimeoutUs"]),
         conn_idle_us=int(allowed["connIdleUs"]),
         admin=parse_address(admin) if admin else None,
+        listen_fd=int(env["RELAY_LISTEN_FD"]) if env.get("RELAY_LISTEN_FD") else None,
     )
--- a/lilacsill/descriptors.py
+++ b/lilacsill/descriptors.py
@@ -4,7 +4,7 @@
 import errno
 import os
 import resource
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 # What the kernel answers when it has none left, of the process's or of the machine's, or no memory for one.
@@ -26,6 +26,24 @@
     return stated if soft == resource.RLIM_INFINITY else min(stated, soft)
 
 
+class SharedLimit:
+    """What this process may hold, where another of the same agent may run beside it under one limit."""
+
+    def __init__(self, stated: int) -> None:
+        self._stated = stated
+        self.beside: Callable[[], int] = lambda: 0  # the other's process id; 0: there is none
+
+    def __call__(self) -> int:
+        whole, other = limit(self._stated), self.beside()
+        if not other:
+            return whole
+        try:
+            taken = len(os.listdir(f"/proc/{other}/fd"))
+        except OSError:  # the system does not tell, or it has just ended
+            taken = whole // 2
+        return max(whole // 4, whole - taken)
+
+
 class Spare:
     """One descriptor kept back, to be given up for a moment when there is no other: to accept a connection and
     refuse it, or to read a file."""
--- a/lilacsill/inbound/accept.py
+++ b/lilacsill/inbound/accept.py
@@ -39,7 +39,7 @@
         self._loop.add_reader(self._sock.fileno(), self._ready)
 
     def stop(self) -> None:
-        """Close the listener; what the kernel still has queued is reset."""
+        """Close the listener. What the kernel still has queued is reset, or taken by another process that holds it."""
         if not self._open:
             return
         self._open = False
@@ -98,6 +98,22 @@
             self.start()
 
 
+def inherited(descriptor: int) -> socket.socket:
+    """A listener that others hold, too. They share its flag for not blocking, and each of them wants it so. Never shut
+    down here: that would end it for all. Raises OSError if it is no listening socket."""
+    sock = socket.socket(fileno=descriptor)
+    try:
+        if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise OSError(errno.EINVAL, f"descriptor {descriptor} is no listening socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.set_inheritable(False)
+        sock.setblocking(False)
+    except OSError:
+        sock.detach()
+        raise
+    return sock
+
+
 def listen(host: str, port: int, shared: bool = False) -> socket.socket:
     """A listening socket that does not block; `::` takes IPv4 too. `shared`: the kernel spreads connections over all
     processes that listen there (SO_REUSEPORT, socket(7))."""
--- a/lilacsill/inbound/downstream.py
+++ b/lilacsill/inbound/downstream.py
@@ -45,6 +45,9 @@
     @property
     def draining(self) -> bool: ...
 
+    @property
+    def healthy(self) -> bool: ...
+
     def entered(self, connection: DownstreamConnection, state: State) -> None:
         """The connection stands differently from now on."""
 
@@ -158,7 +161,7 @@
         try:
             path = request.target.partition(b"?")[0]
             if path == HEALTH:
-                return self._respond(503 if self._owner.draining else 200, [], b"")
+                return self._respond(200 if self._owner.healthy else 503, [], b"")
             if path != API:
                 raise Unreadable(404, "no such path")
             call = self._owner.validator.validate(request, self._answer)
--- a/lilacsill/inbound/server.py
+++ b/lilacsill/inbound/server.py
@@ -13,7 +13,7 @@
 from ..admission.policy import State
 from ..clock import Clock
 from ..descriptors import Spare
-from .accept import AcceptLoop, listen
+from .accept import AcceptLoop, inherited, listen
 from .downstream import DownstreamConnection, RequestHandler, Validator
 from .leave import POLL_S, DrainTimes, Leave
 from .refusals import Refusals
@@ -49,15 +49,17 @@
         self.connections: dict[Record, DownstreamConnection] = {}
         self.open_request_ids: set[bytes] = set()  # of the requests in hand
         self.leave = Leave(self._close_idle)
+        self.succeeded = False  # another process of the agent accepts, and this one no more
         self.refusals = Refusals(refusing)
         self._accepting: AcceptLoop | None = None
 
     def make_connection(self, record: Record) -> DownstreamConnection:
         return DownstreamConnection(self, record)
 
-    def listen(self, address: Address, shared: bool = False) -> int:
-        """Returns the port, for an address whose port is 0. `shared`: with other processes. Raises OSError."""
-        sock = listen(address.host, address.port, shared)
+    def listen(self, address: Address, shared: bool = False, descriptor: int | None = None) -> int:
+        """Returns the port, for an address whose port is 0. `shared`: with other processes. `descriptor`: of a listener
+        that is there already. Raises OSError."""
+        sock = listen(address.host, address.port, shared) if descriptor is None else inherited(descriptor)
         port = int(sock.getsockname()[1])
         self._accepting = AcceptLoop(sock, self._spare, self._accepted, self.short_of_descriptors, self.accepts_more)
         self._accepting.start()
@@ -66,9 +68,14 @@
 
     @property
     def draining(self) -> bool:
-        """Answers ask the client to close, and health says no."""
+        """Answers ask the client to close."""
         return self.leave.on
 
+    @property
+    def healthy(self) -> bool:
+        """Whether clients may go on being sent to the agent: its other process takes them, where there is one."""
+        return self.succeeded or not self.leave.on
+
     # Arrivals
 
     def accepts_more(self) -> bool:
@@ -156,6 +163,12 @@
     def take_back(self) -> None:
         self.leave.end()
 
+    def hand_over(self) -> None:
+        """Another process of the agent takes what is not accepted yet, and all that comes."""
+        self.succeeded = True
+        if self._accepting is not None:
+            self._accepting.stop()
+
     async def drain(self, times: DrainTimes) -> None:
         """Take leave of the clients: nothing that was taken is lost."""
         loop = self._loop
--- a/lilacsill/run.py
+++ b/lilacsill/run.py
@@ -20,7 +20,7 @@
 from .agent import Agent
 from .clock import Clock
 from .config import Config, ConfigError, load_again
-from .descriptors import EXHAUSTED, Spare
+from .descriptors import EXHAUSTED, SharedLimit, Spare
 from .discovery.watch import Discovery
 from .inbound.leave import DrainTimes
 from .inbound.server import SWEEP_S, Server
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from .admin.door import Door
+    from .admin.operations import Operations
     from .operator.sections import OperatorFile
     from .recorder.ring import Recorder
 
@@ -37,6 +38,9 @@
 
 # After SIGTERM new connections come for 0.2 to 0.4 s, and SIGKILL comes 0.7 s past the longest deadline.
 IDLE_S, SERVE_S, FINISH_S = 0.1, 0.5, 0.6
+# With another process in its place no connections come, and those that are idle are the only ones to be closed.
+HANDED_OVER_IDLE_S = 0.5
+LEARN_S = 3.0  # a process that takes over is to be ready within 6 s, and what discovery tells binds 2 s after that
 READ_AGAIN_S, READS = 0.1, 30  # for the files of a reload, where no descriptor is left to read them with
 
 
@@ -59,6 +63,7 @@
     server: Server
     gate: Gate
     spare: Spare
+    limit: SharedLimit
 
 
 def check_reserve(admission: AdmissionSettings, budget: Budget) -> None:
@@ -94,14 +99,14 @@
     discovery = Discovery(clock, config.discovery, config.parser, config.known.revision,
                           config.connect_timeout_us / 1e6, settings.discovery is DiscoveryMode.PUSH, config.seed)
     agent = Agent(Balancer(settings, config.seed), clock, backends, discovery)
+    limit = SharedLimit(config.sockets)
     validator = RequestValidator(settings.classes, settings.tenants)
     most_advice_s = settings.max_retry_after_us / 1e6 if settings.retry_after else 0.0
-    server = Server(validator, most_advice_s, agent, gate, clock, spare, pool,
-                    lambda: descriptors.limit(config.sockets), budget.refusing, sweep_s)
+    server = Server(validator, most_advice_s, agent, gate, clock, spare, pool, limit, budget.refusing, sweep_s)
     pool.downstream_makes_way = server.make_way_for_upstream
     pool.short_of_descriptors = server.short_of_descriptors
     discovery.short_of_descriptors = server.short_of_descriptors
-    return Parts(agent, server, gate, spare)
+    return Parts(agent, server, gate, spare, limit)
 
 
 async def serve(config: Config, clock: Clock, options: Options) -> int:
@@ -121,33 +126,60 @@
     loop.add_signal_handler(signal.SIGHUP, reload.begin)
     parts.agent.start(config.known)
     try:
-        door = _open_door(config, parts)  # what operators have asked for holds from the first request on
-        port = parts.server.listen(config.listen)
+        operations = _operations(config, parts)  # what operators have asked for holds from the first request on
+        door = _open_door(config, parts, operations)
+        if operations is not None and operations.beside:
+            await _learn(parts.agent, stop)
+        port = parts.server.listen(config.listen, descriptor=config.listen_fd)
     except OSError as e:
         print(f"lilacsill: cannot listen: {e}", file=sys.stderr)
         return 1
     log.info("%s listens on %s:%d", config.name, config.listen.host, port)
+    if operations is not None:
+        operations.serves()
     await stop.wait()
     longest_s = max(c.deadline_us for c in config.settings.classes) / 1e6
-    await parts.server.drain(DrainTimes(IDLE_S, SERVE_S, longest_s + FINISH_S))
+    if operations is not None and config.listen_fd is not None and operations.succeeded():
+        log.info("%s hands over to process %d", config.name, operations.beside)
+        parts.server.hand_over()
+        await parts.server.drain(DrainTimes(HANDED_OVER_IDLE_S, HANDED_OVER_IDLE_S, longest_s + FINISH_S))
+    else:
+        await parts.server.drain(DrainTimes(IDLE_S, SERVE_S, longest_s + FINISH_S))
     if recorder is not None:
         recorder.close()
-    if door is not None:
+    if door is not None and operations is not None:
         door.stop()
+        operations.stop()
     log.info("%s stops", config.name)
     return 0
 
 
-def _open_door(config: Config, parts: Parts) -> Door | None:
-    """Raises OSError."""
+async def _learn(agent: Agent, stop: asyncio.Event) -> None:
+    """While another process serves, wait until discovery has told of the backends, but not for long."""
+    waits = [asyncio.ensure_future(e.wait()) for e in (agent.listed, stop)]
+    await asyncio.wait(waits, timeout=LEARN_S, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+
+
+def _operations(config: Config, parts: Parts) -> Operations | None:
     if config.admin is None:
         return None
-    from .admin.door import Door
     from .admin.file import StandingFile
     from .admin.operations import Operations
 
     operations = Operations(parts.server, parts.agent, StandingFile(os.environ.get("TMPDIR")))
     operations.start()
+    parts.limit.beside = lambda: operations.beside
+    return operations
+
+
+def _open_door(config: Config, parts: Parts, operations: Operations | None) -> Door | None:
+    """Raises OSError."""
+    if config.admin is None or operations is None:
+        return None
+    from .admin.door import Door
+
     door = Door(operations.carry_out, parts.spare, parts.server.short_of_descriptors)
     port = door.listen(config.admin)
     log.info("%s answers operators on %s:%d", config.name, config.admin.host, port)
--- a/tests/admin/test_door.py
+++ b/tests/admin/test_door.py
@@ -21,6 +21,7 @@
     operations = Operations(w.server, w.agent, StandingFile(folder))
     door = Door(operations.carry_out, Spare(), lambda what: None)
     operations.start()
+    operations.serves()
     try:
         yield door.listen(Address("127.0.0.1", 0))
     finally:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -254,24 +254,34 @@
 
     def __init__(self, folder: Path) -> None:
         self._path = folder / "config.json"
+        self.door = 0  # the port of the operators' door
 
     def write(self, text: str) -> None:
         fresh = self._path.with_suffix(".new")
         fresh.write_text(text)
         fresh.replace(self._path)
 
-    async def start(self, doc: dict[str, Any], operator: str | None = None) -> None:
+    async def start(self, doc: dict[str, Any], operator: str | None = None,
+                    listener: socket.socket | None = None, **more: str) -> None:
+        """`listener`: the one that it inherits; `more`: of its environment."""
         self.write(json.dumps(doc))
         # The environment names the first discovery for as long as the process lives.
-        env = {**os.environ, "RELAY_CONFIG": str(self._path), "RELAY_DISCOVERY": doc["discovery"]}
+        env = {**os.environ, "RELAY_CONFIG": str(self._path), "RELAY_DISCOVERY": doc["discovery"], **more}
+        descriptors = () if listener is None else (listener.fileno(),)
+        if listener is not None:
+            env["RELAY_LISTEN_FD"] = str(listener.fileno())
         arguments: list[str] = []
         if operator is not None:
             self.operator(operator)
             arguments = ["--operator", str(self._path.with_name("operator.toml"))]
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lilacsill", *arguments, env=env, stderr=asyncio.subprocess.PIPE)
+            sys.executable, "-m", "lilacsill", *arguments, env=env, stderr=asyncio.subprocess.PIPE,
+            pass_fds=descriptors)
         Running.started.append(self)
-        self.port = int((await self.line("listens on")).rpartition(":")[2])
+        if "RELAY_ADMIN_ADDR" in env:
+            self.door = int((await self.line("answers operators on")).rpartition(":")[2])
+        if listener is None:
+            self.port = int((await self.line("listens on")).rpartition(":")[2])
 
     def operator(self, text: str) -> None:
         self._path.with_name("operator.toml").write_text(text)
