Less patience than is usual tells of a client that has waited: it gives way

Repeats show in their patience: what is left of 400 ms where first tries have 293. Ruled out: slow backends, exclusions.

--- a/brasshead/logic/admission.py
+++ b/brasshead/logic/admission.py
@@ -8,6 +8,7 @@
 from .attempts import RETRY_BURST, RETRY_SHARE, Attempts
 from .core import Core
 from .entities import ASK_PAIRS, Request
+from .evidence import usual
 from .sampling import Sampler
 from .shares import TenantShares
 
@@ -28,6 +29,7 @@
         self.attempts, self.shares = attempts, shares
         self.table = sampler.table
         self.windowed: dict[int, Request] = {}  # held by the slow start, oldest first
+        self.patience: dict[int, list[int]] = {}  # of each class, for `usual`
         attempts.advance, attempts.look_again = self.advance, asking.look_again
         attempts.room, asking.missing = self._room, attempts.missing
         asking.settle, asking.left = self._settle, self._left
@@ -39,9 +41,10 @@
         r = Request(e, self.core.settings.classes[e.request_class], now, self.core.rng.random(), size)
         self.attempts.requests[e.request] = r
         self.attempts.budget = min(RETRY_BURST, self.attempts.budget + RETRY_SHARE)
-        # A retry has lost part of its time to the aim unseen: served before first tries it came late.
-        # So has one that the caller did not read while it stood still.
-        r.gives_way = self.shares.over(e.tenant, now) or e.is_retry or self.core.waited_unread()
+        # A retry has lost part of its time to the aim unseen: served before first tries it came late. So has
+        # one that the caller did not read while it stood still, and one with less patience than is usual.
+        spent = e.patience_us < usual(self.patience.setdefault(e.request_class, [0, 0]), e.patience_us)
+        r.gives_way = self.shares.over(e.tenant, now) or e.is_retry or spent or self.core.waited_unread()
         self.advance(r)
 
     def advance(self, r: Request) -> None:
--- a/brasshead/logic/asking.py
+++ b/brasshead/logic/asking.py
@@ -21,8 +21,7 @@
 
     def ask(self, r: Request, pair: tuple[Server, Server]) -> None:
         """Bring the entries of both samples up to date where that is cheap, then compare them."""
-        # A balancer with a request a second hears from each of fifty servers once in a minute: its table made
-        # two samples no better than one.
+        # With a request a second each of fifty servers is heard of once a minute: two samples were as one.
         now, bound = self.core.now, self.sampler.ask_us
         r.pair = pair
         asks = self.sampler.asks_now()
--- a/brasshead/logic/attempts.py
+++ b/brasshead/logic/attempts.py
@@ -18,6 +18,7 @@
 LOOKS = 16  # for so many of the oldest requests in hand
 SURE = 0.5  # an echo may be off by less than this
 UNDER_WAY_US = 5_000  # an attempt sent so shortly before the probe may not have come when it was answered
+ADVICE = 4.0  # typical latencies until the refused may come back: sooner they compete, and are late
 RETRY_SHARE, RETRY_BURST = 0.15, 10.0  # repeats that may load the servers, as a share of first tries
 
 
@@ -116,8 +117,7 @@
         if r.done and not r.out:
             self.requests.pop(r.id, None)
         elif not r.out:
-            # Full servers turn attempts away in no time: unpaid repeats of those made twenty attempts of each
-            # request. A failed connect loads no server and waits out its own time-out.
+            # Unpaid repeats at full servers made twenty attempts of a request. A failed connect loads none.
             if e.outcome is not q.Outcome.CONNECT_FAILED:
                 if self.budget < 1.0:
                     self.finish(r)
@@ -148,11 +148,9 @@
 
     def finish(self, r: Request) -> None:
         """Give the one final answer."""
-        if r.may_refuse():
-            advice = int(2 * self.table.typical) if self.core.settings.retry_after else 0
-            self.core.actions.append(q.Refuse(r.id, min(advice, self.core.settings.max_retry_after_us)))
-        else:
-            self.core.actions.append(q.Fail(r.id))
+        advice = min(int(ADVICE * self.table.typical), self.core.settings.max_retry_after_us)
+        advice *= self.core.settings.retry_after
+        self.core.actions.append(q.Refuse(r.id, advice) if r.may_refuse() else q.Fail(r.id))
         self._drop(r)
 
     def _drop(self, r: Request) -> None:
--- a/brasshead/logic/evidence.py
+++ b/brasshead/logic/evidence.py
@@ -6,6 +6,7 @@
 LEAVES_WORK = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED})
 AT_ONCE = frozenset({Outcome.REJECTED, Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET})
 FULL = 1.5  # a server that holds fewer than this has no reason to be full
+VOTES = 64  # of the latest values; so many others make another one the usual
 
 
 def tells_full(e: AttemptEnded, column: int, mean: float) -> bool:
@@ -15,6 +16,14 @@
             and e.report[column] >= max(FULL, mean))
 
 
+def usual(votes: list[int], value: int) -> int:
+    """The value most of the latest had, by majority vote (Boyer and Moore, 1981) in `votes`; 0: none is sure."""
+    votes[1] = min(VOTES, votes[1] + (1 if value == votes[0] else -1))
+    if votes[1] < 0:
+        votes[:] = [value, 1]
+    return votes[0] if votes[1] >= VOTES // 8 else 0
+
+
 class Fading:
     """A weight that nothing newer has replaced; it halves in `half_us`, then ever slower."""
 
--- a/brasshead/logic/full.py
+++ b/brasshead/logic/full.py
@@ -1,8 +1,7 @@
 """What a late caller has found full is taken for full until there is news.
 
-A request that finds no server is refused, its client comes back, and with a full core the looking itself was
-what filled it: refusals took two thirds of the CPU and nothing else was served, a state that outlasts its
-trigger (Bronson et al., Metastable Failures in Distributed Systems, HotOS 2021).
+Who finds no server is refused and comes back, and looking filled the core: refusals took two thirds of it,
+a state that outlasts its trigger (Bronson et al., Metastable Failures in Distributed Systems, HotOS 2021).
 """
 from __future__ import annotations
 
--- a/brasshead/logic/membership.py
+++ b/brasshead/logic/membership.py
@@ -19,7 +19,7 @@
         self.servers: dict[BackendId, Server] = {}
         self.ready: list[Server] = []
         self.tags: dict[int, Server] = {}
-        self.out: set[BackendId] = set()  # by operators, whatever lists say
+        self.out: set[BackendId] = set()  # by operators
         self.back: dict[BackendId, int] = {}  # when that last changed; who comes back is cold
         self.watching = self.watch_planned = False
         self.spread_us = min((core.settings.siblings - 1) * CALL_US, WATCH_MAX_US // 2)
--- a/brasshead/logic/sampling.py
+++ b/brasshead/logic/sampling.py
@@ -12,9 +12,7 @@
 from .load_table import FORGET_US, FRESH_US, LoadTable
 from .membership import Membership
 
-# Attempts that all balancers together may hold at a server whatever is predicted. Three balancers that shared
-# eight held as many at each of a dozen small servers, and answers came twice as late as predicted.
-IDLE = 3.0
+IDLE = 3.0  # attempts that all balancers together may hold at a server whatever is predicted
 HEADROOM = 0.45  # predicted time to an answer, as a share of the time to the aim: the rest is for the spread
 GUESSED = 0.75  # of the time to the aim may a prediction take that rests on the mean of the table
 GIVE_WAY = 0.2  # the same for a client's retry and for requests beyond their tenant's share
--- a/brasshead/logic/slow_start.py
+++ b/brasshead/logic/slow_start.py
@@ -1,7 +1,6 @@
 """Slow start: while nothing is known of a fleet, answers open the window (RFC 5681, section 3.1).
 
-The first second of an agent saw both faults: with no paces learned it sent all it had, 45 attempts at once to
-six servers; then it took what it measured for the fleet's pace and refused what came next.
+Without it an agent sent all it had in its first second, took that pace for the fleet's, and refused the rest.
 """
 from __future__ import annotations
 
