Few agents give cold servers up to three fifths of what would push them over

Change: the rate is three fifths of what pushes over, less a credit that each agent may hold back, at least two fifths.

--- a/brasshead/logic/cold.py
+++ b/brasshead/logic/cold.py
@@ -6,12 +6,12 @@
 from ..interface import Settings
 from .entities import Server
 
-FULL_PART = 2.5  # from this fall multiple on cold servers together get what they can surely do, below it less
+LEAST, SAFE = 0.4, 0.6  # of what would push cold servers over; the second where few balancers share it
 GUESS = 0.45  # of the shortest aim: a server's time for a request before any answer has told it
 
 
 class ColdBudget:
-    """What cold servers can surely do, in requests a second, in equal parts for all balancers.
+    """What cold servers can bear, in requests a second, in equal parts for all balancers.
 
     Each earns its part and spends one credit a send, so the sum stays in bounds whatever traffic, retries and
     refusals each has. The first comes at a time drawn at random: of many quiet ones some may send at once.
@@ -19,7 +19,8 @@
 
     def __init__(self, settings: Settings, rng: Random) -> None:
         self.start, self.warm_up = settings.start_fraction, settings.warm_up_us
-        self.part = min(1.0, settings.fall_multiple / FULL_PART) / settings.siblings
+        self.siblings, self.window = settings.siblings, settings.fall_window_us
+        self.most = settings.fall_multiple
         self.guess_us = GUESS * min(c.aim_us for c in settings.classes)
         self.rng = rng
         self.credit, self.rate, self.at = 0.0, 0.0, 0  # credits earned a microsecond; as of when
@@ -36,7 +37,10 @@
         """Who is cold now. `pace_us`: what a warm server needs for a request, 0 where nothing tells it."""
         cold = [w for w in (self.warmth(s, now) for s in servers) if w < 1.0]
         self.credit = self._earned(now) if self.rate else self.rng.random()
-        self.rate, self.at = self.part * sum(cold) / (pace_us or self.guess_us), now
+        over = self.most * sum(cold) / (pace_us or self.guess_us)  # a microsecond, it pushes them over
+        at_once = self.siblings / self.window  # each may hold one credit back
+        self.rate = max(LEAST * over, min(SAFE * over, over - at_once)) / self.siblings
+        self.at = now
         self.warmest = max(cold, default=1.0)
 
     def _earned(self, now: int) -> float:
@@ -44,8 +48,8 @@
 
     def admits(self, s: Server, now: int, luck: float) -> bool:
         """Of those that are cold the warmer may be sampled the more often."""
-        warmth = self.warmth(s, now)
-        return warmth >= 1.0 or (self._earned(now) >= 1.0 and luck * self.warmest < warmth)
+        w = self.warmth(s, now)
+        return w >= 1.0 or (self._earned(now) >= 1.0 and luck * self.warmest < w)
 
     def sent(self, s: Server, now: int) -> None:
         if self.warmth(s, now) < 1.0:
--- a/brasshead/logic/core.py
+++ b/brasshead/logic/core.py
@@ -19,22 +19,20 @@
     """One event at a time: `begin` it, let the rooms act, take `actions`."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings = settings
-        self.rng = Random(seed)
-        self.now = 0
+        self.settings, self.rng = settings, Random(seed)
+        self.now = self._due_count = 0
         self.stood_at = self.stood_us = 0  # when the caller went on after standing still, and for how long
         self.lag_us = 0.0  # how late timers are handed in, smoothed
         self.actions: list[Action] = []
         self._due: list[tuple[int, int, Callable[[Any], None], Any]] = []
-        self._due_count = 0
         self._armed = 0  # the earliest timer that is set; 0: none
         # Attempts and waits end two rounds before the client's time is up, or in the first half of the slack:
         # the answer is given in the round after.
         self.margin = max(0, 2 * settings.tick_us - settings.answer_slack_us // 2)
 
     def begin(self, now: int) -> None:
-        # A timer due long ago and handed in only now, or not yet: the caller itself stood still (no CPU for
-        # it, a long turn), and what it measured across that time says nothing of others.
+        # A timer due long ago and handed in only now, or not yet: the caller stood still, and what it
+        # measured across that time says nothing of others.
         if self._armed and now - self._armed > max(STALL_US, USUAL * self.lag_us):
             self.stood_at, self.stood_us = now, now - self._armed
         self.now, self.actions = now, []
--- a/brasshead/logic/evidence.py
+++ b/brasshead/logic/evidence.py
@@ -10,14 +10,13 @@
 
 
 def tells_full(e: AttemptEnded, column: int, mean: float) -> bool:
-    """Turned away by a server that says it holds at least what the others hold: that is load. One that turns
-    away and says it holds nothing is ill."""
+    """Turned away by one that says it holds what the others do, it is load; one that holds nothing is ill."""
     return (e.outcome is Outcome.REJECTED and 0 <= column < len(e.report)
             and e.report[column] >= max(FULL, mean))
 
 
 def usual(votes: list[int], value: int) -> int:
-    """The value most of the latest had, by majority vote (Boyer and Moore, 1981) in `votes`; 0: none is sure."""
+    """The value most of the latest had, by majority vote (Boyer and Moore, 1981); 0: none is sure."""
     votes[1] = min(VOTES, votes[1] + (1 if value == votes[0] else -1))
     if votes[1] < 0:
         votes[:] = [value, 1]
--- a/brasshead/logic/load_table.py
+++ b/brasshead/logic/load_table.py
@@ -60,8 +60,7 @@
         return cost_us / self.cost
 
     def holds(self, now: int, s: Server, held: float, asked_at: int = -1) -> None:
-        """Take in what a probe or a peer tells: it stands for itself and is not smoothed. A report asked for
-        after an attempt ended badly counts what still runs of it."""
+        """Take in what is told, unsmoothed. Asked for after a bad end, it counts what still runs of that."""
         s.others, s.heard_at, s.news_at = held - len(s.open), now, now
         if asked_at >= s.ghosts.since:
             s.ghosts.clear()
--- a/tests/test_fleet_bounds.py
+++ b/tests/test_fleet_bounds.py
@@ -2,10 +2,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from random import Random
 
-from brasshead.interface import Backend, BackendsChanged, Discovery, ListKind, Outcome, Send, Watch
+from hypothesis import given
+from hypothesis import strategies as st
 
-from .helpers import MS, SECOND, Drive, only
+from brasshead.interface import Backend, BackendsChanged, Discovery, ListKind, Outcome, Send, Settings, Watch
+from brasshead.logic.cold import ColdBudget
+from brasshead.logic.entities import Server
+
+from .helpers import MS, SAFE, SECOND, Drive, only
 
 
 def calls(agents: int, answered: Callable[[int], bool]) -> list[int]:
@@ -77,3 +83,26 @@
         for s in only(d.request()[1] + d.wait(SECOND), Send):
             d.end(s, Outcome.OK, 400 * MS)
     assert 30 * MS <= d.balancer.table.pace <= 130 * MS
+
+
+@given(st.integers(1, 60), st.floats(2.0, 4.0), st.lists(st.floats(0.1, 0.99), min_size=2, max_size=12))
+def test_what_all_send_to_cold_servers_in_a_window_stays_under_what_pushes_them_over(
+        siblings: int, multiple: float, warm: list[float]) -> None:
+    """Two agents used less than half of it, while first tries were refused (upgrade+hand)."""
+    window, pace = 3 * SECOND, 5 * MS
+    settings = Settings((SAFE,), siblings=siblings, fall_multiple=multiple, fall_window_us=window,
+                        start_fraction=0.1, warm_up_us=20 * SECOND)
+    now = 100 * SECOND
+    servers = [Server(Backend(f"s{i}", started_at=int(now - (w - 0.1) / 0.9 * 20 * SECOND)), now)
+               for i, w in enumerate(warm)]
+    budgets = [ColdBudget(settings, Random(i)) for i in range(siblings)]
+    for b in budgets:
+        b.credit = 1.0  # at worst each has one held back
+        b.rate = 1e-12
+        b.look(servers, now, pace)
+    all_send = sum(1 + b.rate * window for b in budgets)
+    pushes_over = multiple * sum(budgets[0].warmth(s, now) for s in servers) / pace * window
+    if siblings < 0.4 * pushes_over:  # of more agents than that no bound that each keeps alone can hold
+        assert all_send <= pushes_over * 1.001
+    if siblings <= 2:
+        assert all_send - siblings >= 0.59 * pushes_over
