What a backend takes to write an answer is not learned as its pace

Change: the latency of an answer that comes in parts is that of its first part; its report does not count once it is old.

--- a/lilacsill/outbound/attempts.py
+++ b/lilacsill/outbound/attempts.py
@@ -26,7 +26,7 @@
 HELD = 64 * 1024  # of an answer's body; a longer one is passed on as it comes, and its first bytes are what is timed
 HOLD_US = 50_000  # one of unknown length is held no longer than this
 STALL_US = 15_000_000  # neither side of a stream has moved for so long: it is over
-REPORT_US = 50_000  # a load told longer ago, ahead of a stream, is not the load at its end
+REPORT_US = 50_000  # a load told longer ago, in a head whose body came slowly, is not the load at its end
 OUR_OWN = EXHAUSTED | {errno.EADDRNOTAVAIL}  # lacks of this machine
 
 
@@ -119,7 +119,8 @@
         self._uploading: Upload | None = None  # while some of the body is still to be sent
         self._sending = False  # the module knows that writing takes its time
         self._sink: Sink | None = None  # once the answer is the client's
-        self._began_us = self._moved_at = 0  # when it was told that it is, and when some of it last went on
+        self._first_us = 0  # till its first part came; the work is done by then, and slow writing is no load
+        self._moved_at = 0  # when some of a stream last went on
         self.ended = False
         self._timer = backends.clock.after(timeout_us, self._timed_out)
 
@@ -236,6 +237,8 @@
         self._end(self._answered(answer))
 
     def on_part(self, answer: Message) -> None:
+        if not self._first_us:
+            self._first_us = self._backends.clock.now() - self._began
         if self._sink is not None:
             self._pass_on(answer)
         elif answer.length is not None and answer.length <= HELD:
@@ -252,7 +255,6 @@
         if answer.status != 200 or self._begin is None:
             return self._end(self._answered(answer))
         self._timer.cancel()
-        self._began_us = self._backends.clock.now() - self._began
         sink = self._begin(answer)
         if sink is None:
             return self._end(Outcome.CANCELLED)
@@ -327,15 +329,14 @@
             self._backends.pool.release(
                 self._connection, answer is not None, self._backends.ready(self._backend))
         latency_us = self._backends.clock.now() - self._began
+        first_us = self._first_us or latency_us
+        told = self._report(answer) if answer is not None and latency_us - first_us < REPORT_US else ()
         if self._sink is not None:
-            fresh = answer is not None and latency_us - self._began_us < REPORT_US
-            told = self._report(answer) if fresh and answer is not None else ()
-            self._done(Result(outcome, self._began_us, told, streamed=True))
+            self._done(Result(outcome, first_us, told, streamed=True))
         elif answer is None:
             self._done(Result(outcome, latency_us))
         else:
-            self._done(Result(outcome, latency_us, self._report(answer), bytes(answer.body),
-                              answer.header(b"content-type")))
+            self._done(Result(outcome, first_us, told, bytes(answer.body), answer.header(b"content-type")))
 
     def _report(self, answer: Message) -> tuple[float, ...]:
         fields = self._backends.report_fields
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -374,6 +374,28 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_slow_writing_is_no_slow_work() -> None:
+    # bulk+slow+pieces: the time to write an answer was learned as a pace, and idle backends were refused.
+    async def run() -> None:
+        peer = await Peer().start()
+        end: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+        exchange = backends(peer.port).exchange("s", ASK, 60_000_000, end.set_result)
+        got = await peer.requests.get()
+        await got.peer.write(OK + b"Server-Load: inflight=1,queue=0,util=0\r\nContent-Length: 4\r\n\r\nha")
+        while not exchange._first_us:
+            await asyncio.sleep(0)
+        before = CLOCK.now()
+        await asyncio.sleep(0.06)
+        await got.peer.write(b"lf")
+        result = await end
+        assert (result.outcome, result.body) == (Outcome.OK, b"half")
+        assert result.latency_us <= before - exchange._began
+        assert not result.report  # it is as old as the head
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
 def test_reports_come_with_any_answer() -> None:
     async def run() -> None:
         peer = await Peer().start()
