An answer that begins opens the slow start's window for those that wait

Cause, seen by benchmarks.streams: 18 of 32 long answers came; the slow start lets out three for each server, and though each stream that began opened its window, nobody looked at the requests it held until they were refused. Change: streaming looks at them, as the end of an attempt does.

--- a/brasshead/logic/attempts.py
+++ b/brasshead/logic/attempts.py
@@ -30,8 +30,7 @@
         self.table, self.health, self.cold = sampler.table, sampler.health, sampler.cold
         self.requests: dict[int, Request] = {}
         self.waiting: set[int] = set()  # requests held because all servers are busy
-        self.budget = RETRY_BURST
-        self._beating = False
+        self.budget, self._beating = RETRY_BURST, False
         self.room: Callable[[], None]  # an attempt has ended; admission sets it
         self.look_again: Callable[[Server], None]  # asking sets it
         self.start = SlowStart(core.settings.siblings)
@@ -140,6 +139,7 @@
         elif e.written:
             self.start.sent(now)
             s.open[key], r.out[e.attempt] = now, (s, now, r.out[e.attempt][2])
+        self.room()
 
     def gone(self, e: q.ClientGone) -> None:
         r = self.requests.get(e.request)
