--- a/lilacsill/watermarks.py
+++ b/lilacsill/watermarks.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-MOST, LEAST = 256 * 1024, 4 * 1024  # of a watermark, in bytes
+MOST, LEAST = 64 * 1024, 4 * 1024  # of a watermark, in bytes
 MEMORY_PART = 4  # the budget is so much of the memory limit
 LEFT_PART = 8  # a watermark is so much of what the budget has left
 KEPT_PART = 4  # one body may be so much of what all that are kept whole may hold
