Agents that know of each other: membership, counts, escrow, judgements over UDP

Agents shared nothing: each believed the settings' count of siblings, kept an equal part of every bound and learned by itself who is ill. lilacsill/peers decides without I/O (SWIM with Lifeguard, delta counters, leases, hearsay with witnesses, true siblings); shell.py is the only socket. [peers] of the operator file turns it on where the settings allow it; run imports none of it otherwise.

--- a/brasshead/interface.py
+++ b/brasshead/interface.py
@@ -292,8 +292,33 @@
     payload: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class FleetChanged:
+    """What the caller has learned of its siblings. Without it they are as many as the settings say, and have
+    equal parts."""
+
+    siblings: int  # how many there are in all, this one included
+    cold_part: float  # of what all of them may send to cold backends, this one's part up to `until`
+    until: int
+    then: float  # its part from `until` on, unless another event says otherwise
+
+    def __post_init__(self) -> None:
+        _need(self.siblings >= 1, "siblings", "must be 1 or more")
+        _need(0 <= self.cold_part <= 1 and 0 <= self.then <= 1, "cold_part, then", "must lie in 0..1")
+
+
+@dataclass(slots=True, frozen=True)
+class HearsayChanged:
+    """What others say of one backend has changed. One that has answered this balancer since is not meant."""
+
+    backend: BackendId
+    excluded: bool  # several have found it ill: it gets nothing; else it is sampled less often
+    seen_at: int  # the latest that any of them saw
+    until: int  # it holds no longer than this
+
+
 Event = (BackendsChanged | TenantChanged | MaintenanceChanged | RequestArrived | StreamStarted | Uploading
-         | AttemptEnded | ClientGone | TimerFired | ProbeEnded | PeerMessage)
+         | AttemptEnded | ClientGone | TimerFired | ProbeEnded | PeerMessage | FleetChanged | HearsayChanged)
 
 
 @dataclass(slots=True, frozen=True)
--- a/brasshead/logic/admission.py
+++ b/brasshead/logic/admission.py
@@ -4,11 +4,11 @@
 from itertools import islice
 
 from ..interface import RequestArrived
+from ..mechanisms.majority import usual
 from .asking import Asking
 from .attempts import RETRY_BURST, RETRY_SHARE, Attempts
 from .core import Core
 from .entities import ASK_PAIRS, Request
-from .evidence import usual
 from .sampling import Sampler
 from .shares import TenantShares
 
@@ -114,7 +114,7 @@
 
     def _can_wait(self, r: Request) -> bool:
         """Whether a place that frees up soon still serves it: one turned away comes back after its aim."""
-        most = max(1.0, WAITING * len(self.sampler.members.ready) / self.core.settings.siblings)
+        most = max(1.0, WAITING * len(self.sampler.members.ready) / self.core.siblings)
         typical = self.table.typical
         return (typical > 0 and self.core.now + IN_TIME * typical < r.aim_at
                 and len(self.attempts.waiting) < most and not r.gives_way and r.size <= 1.0)
--- a/brasshead/logic/asking.py
+++ b/brasshead/logic/asking.py
@@ -30,8 +30,7 @@
             return self.settle(r)
         for s in r.silent:
             if not s.asked_at or now - s.asked_at > bound:
-                s.asked_at = now
-                self.core.actions.append(Probe(s.id))
+                self._probe(s)
             s.askers.append(r)
         r.pairs += 1
         self.core.later(now + min(bound, self.left(r)), self._unanswered, (r, r.pairs))
@@ -40,8 +39,11 @@
         """Ask one whose answers are overdue, unless it has just been heard of."""
         now = self.core.now
         if not (s.out or s.asked_at) and self.sampler.asks_now() and now - s.heard_at > self.sampler.ask_us:
-            s.asked_at = now
-            self.core.actions.append(Probe(s.id))
+            self._probe(s)
+
+    def _probe(self, s: Server) -> None:
+        s.asked_at = self.core.now
+        self.core.actions.append(Probe(s.id))
 
     def _unanswered(self, what: tuple[Request, int]) -> None:
         r, pairs = what
--- a/brasshead/logic/balancer.py
+++ b/brasshead/logic/balancer.py
@@ -41,6 +41,7 @@
             q.StreamStarted: self.attempts.streaming, q.Uploading: self.attempts.streaming,
             q.AttemptEnded: self.attempts.ended, q.ClientGone: self.attempts.gone,
             q.TimerFired: core.timer, q.ProbeEnded: asking.probed, q.PeerMessage: peers.told,
+            q.FleetChanged: self._fleet, q.HearsayChanged: self._hearsay,
         }
 
     def handle(self, now: int, event: q.Event) -> list[q.Action]:
@@ -59,6 +60,18 @@
             now - s.heard_at if s.heard_at else -1, s.pace,
             self.sampler.health.admits(s, now, self.table.typical)) for s in self.members.ready]
 
+    def _fleet(self, e: q.FleetChanged) -> None:
+        self.core.siblings = self.attempts.start.siblings = e.siblings
+        self.sampler.among(e.siblings)
+        self.sampler.health.among(e.siblings)
+        self.sampler.cold.granted(e, self.core.now)
+
+    def _hearsay(self, e: q.HearsayChanged) -> None:
+        s = self.members.servers.get(e.backend)
+        if s is not None:
+            s.told = e
+            self.sampler.full.news()
+
     def _listed(self, e: q.BackendsChanged | q.MaintenanceChanged) -> None:
         before = set(self.members.ready)
         if self.members.maintained(e) if isinstance(e, q.MaintenanceChanged) else self.members.changed(e):
--- a/brasshead/logic/cold.py
+++ b/brasshead/logic/cold.py
@@ -3,7 +3,7 @@
 
 from random import Random
 
-from ..interface import Settings
+from ..interface import FleetChanged, Settings
 from .entities import Server
 
 LEAST, SAFE = 0.4, 0.6  # of what would push cold servers over; the second where few balancers share it
@@ -15,6 +15,7 @@
 
     Each earns its part and spends one credit a send, so the sum stays in bounds whatever traffic, retries and
     refusals each has. The first comes at a time drawn at random: of many quiet ones some may send at once.
+    Where balancers lend each other parts, what is earned is earned by the part as of then.
     """
 
     def __init__(self, settings: Settings, rng: Random) -> None:
@@ -23,7 +24,9 @@
         self.most = settings.fall_multiple
         self.guess_us = GUESS * min(c.aim_us for c in settings.classes)
         self.rng = rng
-        self.credit, self.rate, self.at = 0.0, 0.0, 0  # credits earned a microsecond; as of when
+        self.credit, self.whole, self.at = 0.0, 0.0, 0  # of all balancers, credits a microsecond; as of when
+        self.part = self.then = 1.0 / self.siblings  # of the whole: what is earned, and from `until` on
+        self.until = 0
         self.warmest = 1.0  # of the cold
 
     def warmth(self, s: Server, now: int) -> float:
@@ -36,15 +39,21 @@
     def look(self, servers: list[Server], now: int, pace_us: float) -> None:
         """Who is cold now. `pace_us`: what a warm server needs for a request, 0 where nothing tells it."""
         cold = [w for w in (self.warmth(s, now) for s in servers) if w < 1.0]
-        self.credit = self._earned(now) if self.rate else self.rng.random()
+        self.credit = self._earned(now) if self.whole else self.rng.random()
         over = self.most * sum(cold) / (pace_us or self.guess_us)  # a microsecond, it pushes them over
         at_once = self.siblings / self.window  # each may hold one credit back
-        self.rate = max(LEAST * over, min(SAFE * over, over - at_once)) / self.siblings
+        self.whole = max(LEAST * over, min(SAFE * over, over - at_once))
         self.at = now
         self.warmest = max(cold, default=1.0)
 
     def _earned(self, now: int) -> float:
-        return min(1.0, self.credit + self.rate * (now - self.at))
+        then = max(0, now - max(self.at, self.until))
+        earned = self.part * (now - self.at - then) + self.then * then
+        return min(1.0, self.credit + self.whole * earned)
+
+    def granted(self, e: FleetChanged, now: int) -> None:
+        self.credit, self.at, self.siblings = self._earned(now), now, e.siblings
+        self.part, self.until, self.then = e.cold_part, e.until, e.then
 
     def admits(self, s: Server, now: int, luck: float) -> bool:
         """Of those that are cold the warmer may be sampled the more often."""
--- a/brasshead/logic/core.py
+++ b/brasshead/logic/core.py
@@ -2,11 +2,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from heapq import heappop, heappush
 from random import Random
 from typing import Any
 
 from ..interface import Action, Log, Settings, SetTimer, TimerFired
+from ..mechanisms.due import DueQueue
 
 BEAT_US = 10_000  # while attempts are out a timer is due at least this often,
 STALL_US = 10_000  # and one that is handed in later than this tells that the caller stood still,
@@ -19,13 +19,12 @@
     """One event at a time: `begin` it, let the rooms act, take `actions`."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings, self.rng = settings, Random(seed)
-        self.now = self._due_count = 0
+        self.settings, self.rng, self.siblings = settings, Random(seed), settings.siblings
+        self.now = 0
         self.stood_at = self.stood_us = 0  # when the caller went on after standing still, and for how long
         self.lag_us = 0.0  # how late timers are handed in, smoothed
         self.actions: list[Action] = []
-        self._due: list[tuple[int, int, Callable[[Any], None], Any]] = []
-        self._armed = 0  # the earliest timer that is set; 0: none
+        self._due = DueQueue()
         # Attempts and waits end two rounds before the client's time is up, or in the first half of the slack:
         # the answer is given in the round after.
         self.margin = max(0, 2 * settings.tick_us - settings.answer_slack_us // 2)
@@ -33,8 +32,8 @@
     def begin(self, now: int) -> None:
         # A timer due long ago and handed in only now, or not yet: the caller stood still, and what it
         # measured across that time says nothing of others.
-        if self._armed and now - self._armed > max(STALL_US, USUAL * self.lag_us):
-            self.stood_at, self.stood_us = now, now - self._armed
+        if self._due.armed and now - self._due.armed > max(STALL_US, USUAL * self.lag_us):
+            self.stood_at, self.stood_us = now, now - self._due.armed
         self.now, self.actions = now, []
 
     def waited_unread(self) -> bool:
@@ -45,9 +44,7 @@
         self.actions.append(Log(text))
 
     def later(self, at: int, call: Callable[[Any], None], what: Any) -> None:
-        at = max(at, self.now + 1)
-        self._due_count += 1
-        heappush(self._due, (at, self._due_count, call, what))
+        self._due.add(max(at, self.now + 1), call, what)
         self._arm()
 
     def beat(self, goes_on: Callable[[], bool]) -> None:
@@ -56,15 +53,12 @@
             self.later(self.now + BEAT_US, self.beat, goes_on)
 
     def _arm(self) -> None:
-        if self._due and (not self._armed or self._due[0][0] < self._armed):
-            self._armed = self._due[0][0]
-            self.actions.append(SetTimer(max(0, self._armed - self.now), self._armed))
+        if at := self._due.unnamed():
+            self.actions.append(SetTimer(max(0, at - self.now), at))
 
     def timer(self, e: TimerFired) -> None:
-        if e.token == self._armed:
-            self._armed = 0
+        if e.token == self._due.armed:
+            self._due.armed = 0
             self.lag_us += LAG_GAIN * (self.now - e.token - self.lag_us)
-        while self._due and self._due[0][0] <= self.now:
-            _, _, call, what = heappop(self._due)
-            call(what)
+        self._due.run(self.now)
         self._arm()
--- a/brasshead/logic/entities.py
+++ b/brasshead/logic/entities.py
@@ -3,8 +3,8 @@
 
 from zlib import crc32
 
-from ..interface import Backend, BackendId, Effect, Group, RequestArrived, RequestClass, State
-from .evidence import Fading
+from ..mechanisms.fading import Fading
+from ..interface import Backend, BackendId, Effect, Group, HearsayChanged, RequestArrived, RequestClass, State
 
 SECOND = 1_000_000
 ASK_PAIRS = 4  # pairs asked for one request before it is given up as hopeless
@@ -13,11 +13,6 @@
 class Server:
     """What this balancer knows of one backend."""
 
-    __slots__ = ("id", "tag", "zone", "cell", "hint", "state", "started_at", "open", "ghosts", "bounced",
-                 "others", "heard_at", "latency", "load", "samples", "answered_at", "ended_at",
-                 "failing", "streak", "out_until", "out_us", "allowance", "asked_at", "askers",
-                 "pace", "service", "news_at", "sent_at", "warmth", "out", "back_at")
-
     def __init__(self, b: Backend, now: int) -> None:
         self.id, self.tag = b.id, crc32(name_of(b.id).encode())
         self.open: dict[tuple[int, int], int] = {}  # own attempts out, oldest first: when each was sent
@@ -48,15 +43,12 @@
         self.heard_at = self.answered_at = self.ended_at = self.samples = self.streak = 0
         self.out_until = self.out_us = self.allowance = 0  # allowance 0: no limit
         self.sent_at = 0
+        self.told = HearsayChanged(self.id, False, 0, 0)  # by others
 
 
 class Request:
     """A request this balancer has taken, until its answer is given and its attempts have ended."""
 
-    __slots__ = ("id", "cls", "deadline", "aim_at", "gives_way", "sends", "out", "may_have_run",
-                 "tried", "done", "hold_until", "luck", "size", "key", "pair", "silent", "pairs",
-                 "pairs_most")
-
     def __init__(self, e: RequestArrived, cls: RequestClass, now: int, luck: float, size: float) -> None:
         self.id, self.cls, self.deadline = e.request, cls, now + e.patience_us
         self.aim_at = min(now + cls.aim_us + int(cls.aim_stretch * e.cost_us), self.deadline)
--- a/brasshead/logic/health.py
+++ b/brasshead/logic/health.py
@@ -21,8 +21,11 @@
 
     def __init__(self, rng: Random, log: Callable[[str], None], siblings: int) -> None:
         self.rng, self.log = rng, log
-        self.rarely = min(RARELY_MOST, max(1.0, siblings / RARELY))
         self.shared, self.stood_at = False, 0
+        self.among(siblings)
+
+    def among(self, siblings: int) -> None:
+        self.rarely = min(RARELY_MOST, max(1.0, siblings / RARELY))
 
     def look(self, servers: list[Server], now: int, typical: float, stood_at: int) -> None:
         """When most look ill the cause is shared, and the rest would drown: then none is left out."""
--- a/brasshead/logic/homes.py
+++ b/brasshead/logic/homes.py
@@ -7,18 +7,11 @@
 
 from heapq import nlargest
 
+from ..mechanisms.rendezvous import score
 from .entities import Server
 
 HOMES = 3  # of a key; the third stands in for one that may not be sampled
 KEYS = 4096  # remembered; one that is not costs a look at the whole list
-MIX, MASK = 0x9E3779B97F4A7C15, 2**64 - 1  # odd, of the golden ratio: a multiplicative hash (Knuth, 6.4)
-
-
-def _score(seed: int, key: int) -> int:
-    """64 bits that look drawn anew for each pair."""
-    x = ((seed ^ key) * MIX) & MASK
-    x = ((x ^ x >> 32) * MIX) & MASK
-    return x ^ x >> 29
 
 
 class Homes:
@@ -41,6 +34,6 @@
         if homes is None:
             if len(self._homes) >= KEYS:
                 del self._homes[next(iter(self._homes))]
-            scored = nlargest(HOMES, self._seeds, lambda entry: _score(entry[0], key))
+            scored = nlargest(HOMES, self._seeds, lambda entry: score(entry[0], key))
             homes = self._homes[key] = tuple(s for _, s in scored)
         return homes
--- a/brasshead/logic/sampling.py
+++ b/brasshead/logic/sampling.py
@@ -1,6 +1,8 @@
 """The sampling set and the band choice: who may be sampled, and which of two samples takes the request."""
 from __future__ import annotations
 
+from itertools import chain
+
 from ..interface import Effect, Group
 from .bands import cutoffs, lower_band
 from .cold import ColdBudget
@@ -20,6 +22,7 @@
 SHUN_US = 250_000  # where it cannot be asked, one that holds nothing of ours is tried again after so long
 REINDEX = 4  # the cutoffs of n servers serve n / 4 picks: the cost of a pick must not grow with n
 PROBE_SPEND = 0.01  # the most of the goal that asking both samples of every request may cost
+LOOKED_AT = 0.25  # of requests may still sample a server that another balancer has found ill
 ASK_SHARE = 0.05  # asking may take, and a report may be old, this share of the time to the aim
 
 
@@ -33,7 +36,7 @@
         settings = core.settings
         self.bearable = {c.name: min(d.aim_us for d in settings.classes if d.worth >= c.worth)
                          for c in settings.classes}
-        self.idle = IDLE / settings.siblings
+        self.among(settings.siblings)
         # Asking both samples of each request must be cheap, and there must be something to learn by it.
         self.asks = settings.can_probe and table.column >= 0 and 2 * settings.prices.probe <= PROBE_SPEND
         self.ask_us = int(ASK_SHARE * min(c.aim_us for c in settings.classes))
@@ -42,6 +45,9 @@
         self.full, self.homes = FoundFull(), Homes()
         self.picks_left = 0  # picks that the cutoffs still serve
 
+    def among(self, siblings: int) -> None:
+        self.idle = IDLE / siblings
+
     def pool(self, r: Request) -> list[Server]:
         if not r.may_have_run or r.cls.effect is Effect.SAFE:
             return self.members.ready
@@ -76,6 +82,8 @@
         silence = (now - s.news_at) * r.luck * self.cold.warmth(s, now) if self.tells else 0
         if silence > 2 * max(FRESH_US, self.core.now - self.table.news_at):
             return False
+        if s.told.until > now and s.told.seen_at > s.answered_at and (s.told.excluded or r.luck > LOOKED_AT):
+            return False  # others found it ill; what it has answered here since goes first
         return self.cold.admits(s, now, r.luck) and self.health.admits(s, now, self.table.typical)
 
     def two(self, r: Request, pool: list[Server]) -> tuple[Server, Server] | None:
@@ -95,14 +103,9 @@
         random, n = self.core.rng.random, len(pool)
         self._index()
         fit: list[Server] = []
-        for s in self.homes.of(r.key):  # uniform over the keys
-            if (self.may_go(r, s) and s not in r.tried and self.admits(r, s)
-                    and self.hopeful(r, s, limit, left)):
-                fit.append(s)
-                if len(fit) == 2:
-                    return fit[0], fit[1]
-        for _ in range(max(2, min(DRAWS, n // 2))):  # uniform over those that fit
-            s = pool[int(random() * n)]
+        homes = (s for s in self.homes.of(r.key) if self.may_go(r, s))  # uniform over the keys
+        drawn = (pool[int(random() * n)] for _ in range(max(2, min(DRAWS, n // 2))))  # over those that fit
+        for s in chain(homes, drawn):
             if s not in r.tried and self.admits(r, s) and self.hopeful(r, s, limit, left):
                 fit.append(s)
                 if len(fit) == 2:
--- a/brasshead/logic/slow_start.py
+++ b/brasshead/logic/slow_start.py
@@ -13,20 +13,20 @@
     """A window on this balancer's attempts out; open without end once paces are learned."""
 
     def __init__(self, siblings: int) -> None:
-        self._siblings = siblings
+        self.siblings = siblings
         self.window, self.out = 0.0, 0
         self.wanted = 0  # answers until the paces count as learned; 0: they are
         self.answered_at = 0
 
     def begin(self, now: int, servers: int) -> None:
         """A list that is new as a whole, or a fleet that answers again."""
-        self.window = max(1.0, FIRST * servers / self._siblings)
+        self.window = max(1.0, FIRST * servers / self.siblings)
         self.wanted = max(8, int(LEARNED * self.window))
         self.answered_at = now
 
     def admits(self, now: int, servers: int, typical: float, stood_at: int) -> bool:
         """Whether one more attempt may go out now. `stood_at`: silence before that was the caller's own."""
-        first = max(1.0, FIRST * servers / self._siblings)
+        first = max(1.0, FIRST * servers / self.siblings)
         silence = now - max(self.answered_at, stood_at)
         if not self.wanted and typical and self.out >= first and silence > STALLED * typical:
             self.begin(now, servers)
--- /dev/null
+++ b/emulator/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Hundreds of agents as processes, and faults between them."""
--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -28,6 +28,10 @@
         from .hosted.cli.main import main as hosted
 
         return hosted(argv)
+    if argv and argv[0] == "peers":
+        from .peers.cli import main as peers
+
+        return peers(argv[1:])
     if argv:
         # The platform's run line has no arguments, and an agent with 32 MB has no use for argparse.
         from .cli import parse
--- a/lilacsill/admin/calls.py
+++ b/lilacsill/admin/calls.py
@@ -15,6 +15,8 @@
     ENABLE = "enable"
     DRAIN = "drain"
     RESUME = "resume"
+    PEERS = "peers"
+    NOTES = "notes"
 
 
 @dataclass(slots=True, frozen=True)
@@ -33,7 +35,8 @@
         self.status, self.allow = status, allow
 
 
-PLAIN = {"ready": (Verb.READY, "GET"), "drain": (Verb.DRAIN, "POST"), "resume": (Verb.RESUME, "POST")}
+PLAIN = {"ready": (Verb.READY, "GET"), "drain": (Verb.DRAIN, "POST"), "resume": (Verb.RESUME, "POST"),
+         "peers": (Verb.PEERS, "GET"), "notes": (Verb.NOTES, "GET")}
 OF_BACKEND = {"disable": Verb.DISABLE, "enable": Verb.ENABLE}
 
 
--- a/lilacsill/admin/operations.py
+++ b/lilacsill/admin/operations.py
@@ -38,11 +38,19 @@
     def maintain(self, backend: str, out: bool) -> None: ...
 
 
+class Peers(Protocol):
+    """The channel between agents."""
+
+    def describe(self) -> Answer: ...
+
+    def notes(self) -> Answer: ...
+
+
 class Operations:
     """Carries calls out, one at a time. The file comes first: what could not be kept is not done."""
 
-    def __init__(self, clients: Clients, backends: Backends, file: StandingFile) -> None:
-        self._clients, self._backends, self._file = clients, backends, file
+    def __init__(self, clients: Clients, backends: Backends, file: StandingFile, peers: Peers | None = None) -> None:
+        self._clients, self._backends, self._file, self._peers = clients, backends, file, peers
         self._in_force = Standing()
         self._me = os.getpid()
         self._other = 0  # the process of the agent that was there before, or that has come since
@@ -51,7 +59,8 @@
         self._next: asyncio.TimerHandle | None = None
         self._verbs: dict[Verb, Callable[[Call], Answer]] = {
             Verb.READY: self._ready, Verb.DRAIN: self._drain, Verb.RESUME: self._resume,
-            Verb.DISABLE: self._disable, Verb.ENABLE: self._enable}
+            Verb.DISABLE: self._disable, Verb.ENABLE: self._enable,
+            Verb.PEERS: lambda _: self._channel().describe(), Verb.NOTES: lambda _: self._channel().notes()}
 
     def start(self) -> None:
         """Take over what is in force, and follow it from now on."""
@@ -149,6 +158,11 @@
         self._change(lambda s: s.with_(call.backend))
         return {"backend": call.backend, "out": False}
 
+    def _channel(self) -> Peers:
+        if self._peers is None:
+            raise Refused(404, "agents tell each other nothing here: [peers] is off, or the settings forbid it")
+        return self._peers
+
     def _known(self, backend: str) -> None:
         """One that left the list while it was out can still be let back."""
         if not self._backends.knows(backend) and backend not in self._file.standing.out:
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
-from typing import Any, Protocol
+from typing import Any
 
 from brasshead import interface as q
 from brasshead.logic import Balancer
@@ -18,6 +18,7 @@
 from .discovery.watch import Discovery
 from .http1.message import Headers, Message
 from .inbound.validation import DownstreamRequest
+from .observers import Observer
 from .outbound.attempts import Backends, Exchange, Result, UpstreamRequest
 from .timers import Timer
 from .watermarks import Sink
@@ -29,19 +30,6 @@
 OVERDUE_US = 25_000
 
 
-class Observer(Protocol):
-    """Hears what the agent sees, and has no say in it."""
-
-    def arrived(self, call: DownstreamRequest) -> None: ...
-
-    def attempt_ended(self, number: int, attempt: int, backend: q.BackendId, outcome: q.Outcome, latency_us: int,
-                      report: tuple[float, ...]) -> None: ...
-
-    def answered(self, number: int, status: int) -> None: ...
-
-    def listed(self, listing: Listing) -> None: ...
-
-
 @dataclass(slots=True, eq=False)
 class InFlight:
     """A request without its final answer."""
@@ -62,7 +50,7 @@
         self._events: deque[q.Event] = deque()
         self._handling = False
         self._accepted = 0
-        self.observer: Observer | None = None
+        self.observer: Observer | None = None  # `observers.Both` where there are two
         self.listed = asyncio.Event()  # discovery has told of the backends
         self._carriers: dict[type, Callable[[Any], None]] = {
             q.Send: self._send, q.Refuse: self._refuse, q.Fail: self._fail, q.Cancel: self._cancel,
@@ -80,6 +68,10 @@
         """A tenant came, has another quota or is gone; what is in hand for it goes on."""
         self._post(q.TenantChanged(number, about))
 
+    def fleet_changed(self, event: q.FleetChanged | q.HearsayChanged) -> None:
+        """What other agents have told has come to this."""
+        self._post(event)
+
     def learn(self) -> None:
         """Ask for the whole list now: a watch would wait for something newer, and others wait for this agent."""
         self._discovery.forget()
--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -34,6 +34,9 @@
     conn_idle_us: int
     admin: Address | None = None  # where operators call; None: nowhere
     listen_fd: int | None = None  # the clients' listener, inherited; None: one of its own
+    peers_allowed: bool = False  # the platform lets agents send each other datagrams
+    peer_listen: Address | None = None  # where they come
+    peers: tuple[Address, ...] = ()  # of all agents, this one among them, in the order of their numbers
 
 
 def load(env: Mapping[str, str], clock: Clock) -> Config:
@@ -74,10 +77,13 @@
         memory_mb=float((doc.get("limits") or {}).get("memory_mb") or 192),
         known=parser.parse(doc["known"]),
         parser=parser,
-        # The agent has no channel to its peers, so the module must not count on one.
+        # The module's own words between balancers are not carried: `lilacsill.peers` talks for the agent.
         settings=replace(settings_from(facts), can_tell=False),
         connect_timeout_us=int(allowed["connectTimeoutUs"]),
         conn_idle_us=int(allowed["connIdleUs"]),
         admin=parse_address(admin) if admin else None,
         listen_fd=int(env["RELAY_LISTEN_FD"]) if env.get("RELAY_LISTEN_FD") else None,
+        peers_allowed=bool(allowed.get("peers")),
+        peer_listen=parse_address(doc["peer_listen"]) if doc.get("peer_listen") else None,
+        peers=tuple(map(parse_address, doc.get("peers") or ())),
     )
--- a/lilacsill/operator/sections.py
+++ b/lilacsill/operator/sections.py
@@ -56,6 +56,23 @@
     beliefs_ms: Annotated[int, msgspec.Meta(ge=0, le=3_600_000)] = 0
 
 
+class PeersSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """What agents tell one another, where the platform lets them."""
+
+    enabled: bool = False
+    fleet: Annotated[str, msgspec.Meta(max_length=64)] = ""
+    secrets_file: str = ""
+    period_ms: Annotated[int, msgspec.Meta(ge=50, le=60_000)] = 500
+    lease_ms: Annotated[int, msgspec.Meta(ge=200, le=600_000)] = 2000
+    records: str = ""
+    records_mb: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 16
+    metrics: str = ""
+
+    def __post_init__(self) -> None:
+        if self.lease_ms < 2 * self.period_ms:
+            raise ValueError(f"lease_ms: {self.lease_ms} must be at least twice period_ms, {self.period_ms}")
+
+
 class HostedSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     """One service for many tenants; only `python -m lilacsill hosted` reads it."""
 
@@ -81,6 +98,7 @@
 
     admission: AdmissionSection = msgspec.field(default_factory=AdmissionSection)
     recorder: RecorderSection = msgspec.field(default_factory=RecorderSection)
+    peers: PeersSection = msgspec.field(default_factory=PeersSection)
     hosted: HostedSection = msgspec.field(default_factory=HostedSection)
 
 
@@ -88,5 +106,6 @@
 LIVE: dict[str, frozenset[str]] = {
     "admission": frozenset(AdmissionSection.__struct_fields__),
     "recorder": frozenset(),
+    "peers": frozenset(),  # the file of secrets is read again by itself
     "hosted": frozenset(),
 }
--- /dev/null
+++ b/lilacsill/peers/judgements.py
@@ -0,0 +1,159 @@
+"""What agents say of backends, and what it is worth. No I/O; the clock from outside.
+
+A judgement is what one agent saw, when, and until when it holds. Heard from another it makes an agent careful: that
+backend is sampled less often, which is the look that decides. Only several independent witnesses leave it out, and of
+all backends never more than a share. A witness that condemns more than that share says something about its own links,
+and is not believed on any. What one has seen oneself since, and what discovery says, go first.
+
+A judgement is renewed by its witness alone, in numbered rounds, and each round is taken once: on slow links every hop
+makes news look younger than it is, and what was told from its age alone would never end.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from hashlib import blake2s
+
+from .records import Cause, Judgement, Verdict
+
+WITNESSES = 3  # that are needed to leave a backend out on hearsay alone
+HEARSAY = 0.2  # of the backends may be left out on hearsay, and condemned by one witness that is believed
+CLAIMS_MOST = 32  # of one witness: its newest; more are condemned by somebody who is cut off
+AGE_MOST_MS = 30_000  # older news is none
+
+
+def tag_of(backend: str) -> int:
+    return int.from_bytes(blake2s(backend.encode(), digest_size=8).digest(), "big") >> 1
+
+
+@dataclass(slots=True, frozen=True)
+class Claim:
+    backend: int
+    verdict: Verdict
+    witness: int
+    life: int
+    round: int
+    seen_at: int  # on this process's clock; a datagram's time on its way makes it look younger
+    until: int
+    cause: Cause
+
+    def record(self, now: int) -> Judgement:
+        return Judgement(self.backend, self.verdict, self.witness, self.life, self.round,
+                         max(0, now - self.seen_at) // 1000, max(0, self.until - now) // 1000, self.cause)
+
+
+@dataclass(slots=True, frozen=True)
+class Hearsay:
+    """What others say of one backend comes to."""
+
+    backend: str
+    verdict: Verdict
+    excluded: bool  # else it is only looked at with care
+    until: int
+    seen_at: int
+    witnesses: tuple[tuple[int, Cause], ...]
+
+
+class Judgements:
+    """The claims of all witnesses, by witness."""
+
+    def __init__(self, me: int) -> None:
+        self.me = me
+        self._names: dict[int, str] = {}  # backends that this process's own list names
+        self._started: dict[str, int] = {}
+        self._well_at: dict[int, int] = {}  # when it last answered this process
+        self._claims: dict[int, dict[int, Claim]] = {}  # by witness and backend
+        self._mine: dict[int, Claim] = {}
+
+    # Own evidence
+
+    def listed(self, backends: dict[str, int], now: int) -> None:
+        """All that the own list names, with their starts. A new process of a backend is judged anew."""
+        for name, started in backends.items():
+            if self._started.get(name, started) != started:
+                self._well_at[tag_of(name)] = now
+        self._started = dict(backends)
+        self._names = {tag_of(name): name for name in backends}
+        self._well_at = {t: at for t, at in self._well_at.items() if t in self._names}
+        self._mine = {t: c for t, c in self._mine.items() if t in self._names}
+
+    def answered(self, backend: str, now: int) -> None:
+        tag = tag_of(backend)
+        if tag in self._names:
+            self._well_at[tag] = now
+
+    def saw(self, ill: set[str], now: int, lasts_us: int, life: int, cut_off: bool, begin: Cause) -> list[Claim]:
+        """What this process finds ill by its own evidence, all of it at once; returns what is to be told. One that is
+        cut off, or finds too many ill, tells nothing: the cause is its own or shared."""
+        tags = {tag_of(name) for name in ill} & self._names.keys()
+        told: list[Claim] = []
+        quiet = cut_off or len(tags) > self._most()
+        for tag in tags:
+            claim = self._mine.get(tag)
+            if claim is None or claim.until - now < lasts_us // 2:
+                cause, round_ = (begin, 0) if claim is None else (claim.cause, claim.round + 1)
+                self._mine[tag] = claim = Claim(tag, Verdict.ILL, self.me, life, round_, now, now + lasts_us, cause)
+                if not quiet:
+                    told.append(claim)
+        for tag in [t for t in self._mine if t not in tags]:
+            was = self._mine.pop(tag)
+            told.append(Claim(tag, Verdict.WELL, self.me, life, was.round + 1, now, now + lasts_us, was.cause))
+        return told
+
+    # Others' words
+
+    def heard(self, j: Judgement, now: int) -> Claim | None:
+        """The claim if it is newer than what that witness said before; it may be passed on."""
+        if j.witness == self.me or j.age_ms > AGE_MOST_MS:
+            return None
+        claim = Claim(j.backend, j.verdict, j.witness, j.life, j.round, now - j.age_ms * 1000,
+                      now + min(j.left_ms, AGE_MOST_MS) * 1000, j.cause)
+        said = self._claims.setdefault(j.witness, {})
+        before = said.get(j.backend)
+        if before is not None and (j.life, j.cause[1], j.round) <= (before.life, before.cause[1], before.round):
+            return None
+        said.pop(j.backend, None)
+        said[j.backend] = claim
+        if len(said) > CLAIMS_MOST:
+            del said[next(iter(said))]
+        return claim
+
+    def forget(self, witness: int) -> None:
+        """It is dead: what it has seen it cannot take back."""
+        self._claims.pop(witness, None)
+
+    # What it comes to
+
+    def _most(self) -> int:
+        return max(1, int(HEARSAY * len(self._names)))
+
+    def verdicts(self, now: int) -> list[Hearsay]:
+        """What counts now, most witnesses first; only backends that the own list names."""
+        by_backend: dict[int, list[Claim]] = {}
+        for witness, said in list(self._claims.items()):
+            for tag in [t for t, c in said.items() if c.until <= now]:
+                del said[tag]
+            if not said:
+                del self._claims[witness]
+                continue
+            ill = [c for c in said.values() if c.verdict is not Verdict.WELL and c.backend in self._names]
+            if len(ill) > self._most():
+                continue
+            for claim in ill:
+                if claim.seen_at > self._well_at.get(claim.backend, 0) - 1:
+                    by_backend.setdefault(claim.backend, []).append(claim)
+        found: list[Hearsay] = []
+        room = self._most()
+        ordered = sorted(by_backend.items(), key=lambda item: (-len(item[1]), item[0]))
+        for tag, claims in ordered[:2 * room]:  # several that lie by turns must not make most look doubtful either
+            excluded = len(claims) >= WITNESSES and room > 0
+            room -= excluded
+            ends = sorted((c.until for c in claims), reverse=True)
+            found.append(Hearsay(self._names[tag], max(c.verdict for c in claims), excluded,
+                                 ends[WITNESSES - 1] if excluded else ends[0], max(c.seen_at for c in claims),
+                                 tuple((c.witness, c.cause) for c in claims)))
+        return found
+
+    @property
+    def standing(self) -> int:
+        """Claims held, of all witnesses."""
+        return sum(map(len, self._claims.values()))
--- a/lilacsill/run.py
+++ b/lilacsill/run.py
@@ -33,6 +33,7 @@
     from .admin.door import Door
     from .admin.operations import Operations
     from .operator.sections import OperatorFile
+    from .peers.channel import Channel
     from .recorder.ring import Recorder
 
 log = logging.getLogger("lilacsill")
@@ -77,7 +78,7 @@
 
 def budget_for(config: Config) -> Budget:
     """By what the process holds now; the listener comes on top, and the operators' door where there is one."""
-    base = descriptors.held() + 1
+    base = descriptors.held() + 1 + config.peers_allowed  # the listener, and the socket between agents
     if config.admin is not None:
         from .admin.door import DESCRIPTORS
 
@@ -126,11 +127,16 @@
         print(f"lilacsill: {e}", file=sys.stderr)
         return 2
     recorder = _record(config, clock, options, parts.agent)
-    reload = Reload(parts, clock, options, budget_for(config))
+    try:
+        peers = _peers(config, clock, options, parts.agent)
+    except (ConfigError, OSError) as e:
+        print(f"lilacsill: {e}", file=sys.stderr)
+        return 2
+    reload = Reload(parts, clock, options, budget_for(config), peers)
     loop.add_signal_handler(signal.SIGHUP, reload.begin)
     parts.agent.start(config.known)
     try:
-        operations = _operations(config, parts)  # what operators have asked for holds from the first request on
+        operations = _operations(config, parts, peers)  # what operators have asked for holds from the first request on
         door = _open_door(config, parts, operations)
         if operations is not None and operations.beside:
             await _learn(parts.agent, stop)
@@ -141,7 +147,11 @@
     log.info("%s listens on %s:%d", config.name, config.listen.host, port)
     if operations is not None:
         operations.serves()
+    if peers is not None:
+        peers.start()
     await stop.wait()
+    if peers is not None:
+        peers.stop()  # before the clients go: a process that takes over needs the address
     longest_s = max(c.deadline_us for c in config.settings.classes) / 1e6
     if operations is not None and config.listen_fd is not None and operations.succeeded():
         log.info("%s hands over to process %d", config.name, operations.beside)
@@ -167,13 +177,25 @@
         wait.cancel()
 
 
-def _operations(config: Config, parts: Parts) -> Operations | None:
+def _peers(config: Config, clock: Clock, options: Options, agent: Agent) -> Channel | None:
+    """Where the platform forbids it, or nothing is set, nothing of it is imported. Raises ConfigError and OSError."""
+    if options.operator is None or not options.operator.peers.enabled:
+        return None
+    if not config.peers_allowed:
+        log.info("[peers] is enabled, but the settings forbid agents to talk: it stays off")
+        return None
+    from .peers.channel import Channel
+
+    return Channel(config, options.operator.peers, clock, agent)
+
+
+def _operations(config: Config, parts: Parts, peers: Channel | None) -> Operations | None:
     if config.admin is None:
         return None
     from .admin.file import StandingFile
     from .admin.operations import Operations
 
-    operations = Operations(parts.server, parts.agent, StandingFile(os.environ.get("TMPDIR")))
+    operations = Operations(parts.server, parts.agent, StandingFile(os.environ.get("TMPDIR")), peers)
     operations.start()
     parts.limit.beside = lambda: operations.beside
     return operations
@@ -207,8 +229,9 @@
     """SIGHUP: the configuration and the operator file are read again. A file that cannot be used is one line and
     changes nothing of its own; the other one still counts."""
 
-    def __init__(self, parts: Parts, clock: Clock, options: Options, budget: Budget) -> None:
-        self._parts, self._clock, self._budget = parts, clock, budget
+    def __init__(self, parts: Parts, clock: Clock, options: Options, budget: Budget,
+                 peers: Channel | None = None) -> None:
+        self._parts, self._clock, self._budget, self._peers = parts, clock, budget, peers
         self._path, self._operator = options.operator_path, options.operator
         self._loop = asyncio.get_running_loop()
 
@@ -216,6 +239,8 @@
         self._try(self._configuration, READS)
         if self._path is not None:
             self._try(self._operator_file, READS)
+        if self._peers is not None:
+            self._try(self._peers.read_secrets, READS)
 
     def _try(self, read: Callable[[], None], reads: int) -> None:
         """Read, on the spare descriptor if need be; again a little later where even that was not enough."""
--- /dev/null
+++ b/tests/peers/test_escrow.py
@@ -0,0 +1,276 @@
+"""Shared budgets: no interleaving, delay, restart or stall lets all agents together spend more than the whole."""
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lilacsill.peers import escrow as module
+from lilacsill.peers.escrow import KEPT, Escrow
+from lilacsill.peers.records import PARTS
+
+LEASE = 1_000_000
+Make = Callable[[int], Escrow]
+
+
+@dataclass
+class Agent:
+    """One process at a time, on a clock of its own."""
+
+    rate: float
+    escrow: Escrow
+    life: int = 1
+    nonce: int = 0
+    down: bool = False
+
+
+@dataclass
+class Model:
+    """Three agents and the datagrams between them; `step` takes one of a few moves."""
+
+    make: Make
+    agents: list[Agent] = field(default_factory=list)
+    wire: list[tuple[str, int, int, int, int, int]] = field(default_factory=list)  # kind, by, to, life, nonce, amount
+    now: int = 0
+
+    def __post_init__(self) -> None:
+        for rate in (1.0, 1.009, 0.991):
+            a = Agent(rate, self.make(0))
+            a.escrow.whole_from = 0  # they have run for long
+            self.agents.append(a)
+
+    def clock(self, a: Agent) -> int:
+        return int(self.now * a.rate)
+
+    def spendable(self) -> int:
+        return sum(a.escrow.right(self.clock(a)).amount for a in self.agents if not a.down)
+
+    def ask(self, i: int, j: int) -> None:
+        a = self.agents[i]
+        a.nonce += 1
+        wanted = a.escrow.ask(self.clock(a), j, a.nonce)
+        if wanted:
+            self.wire.append(("ask", i, j, a.life, a.nonce, wanted))
+
+    def deliver(self, k: int, keep: bool) -> None:
+        """The k-th datagram on its way arrives, and perhaps again later."""
+        kind, by, to, life, nonce, amount = self.wire[k]
+        if not keep:
+            del self.wire[k]
+        a = self.agents[to]
+        now = self.clock(a)
+        if kind == "ask":
+            lent = a.escrow.asked(now, by, life, nonce, amount)
+            if lent:
+                self.wire.append(("grant", to, by, life, nonce, lent))
+        elif kind == "grant":
+            if life == a.life:
+                a.escrow.granted(now, by, nonce, amount)
+        else:
+            a.escrow.released(by, life, nonce)
+
+    def release(self, i: int) -> None:
+        a = self.agents[i]
+        for lender, nonce in a.escrow.release(self.clock(a)):
+            self.wire.append(("release", i, lender, a.life, nonce, 0))
+
+    def restart(self, i: int) -> None:
+        a = self.agents[i]
+        a.life += 1
+        a.nonce = 0  # at worst the same numbers again
+        a.escrow = self.make(self.clock(a))
+
+
+def make(now: int) -> Escrow:
+    return Escrow(now, LEASE)
+
+
+def walk(rng: Random, new: Make, steps: int = 60) -> None:
+    """One random history; the sum of all rights is checked after each step."""
+    m = Model(new)
+    for _ in range(steps):
+        kind, i, j = rng.randrange(8), rng.randrange(3), rng.randrange(3)
+        if kind <= 1 and i != j:
+            m.agents[i].escrow.need = rng.choice((2, 3)) * PARTS
+            m.ask(i, j)
+        elif kind <= 4 and m.wire:
+            m.deliver(rng.randrange(len(m.wire)), keep=rng.random() < 0.3)
+        elif kind == 5:
+            m.now += rng.choice((1, LEASE // 3, int(LEASE * 0.995), LEASE, 30 * LEASE))
+        elif kind == 6:
+            m.agents[i].escrow.need = rng.choice((0, PARTS // 2, PARTS))
+            m.release(i)
+        elif rng.random() < 0.3:
+            m.restart(i)
+        assert m.spendable() <= 3 * PARTS
+
+
+@settings(deadline=None, max_examples=60)
+@given(st.integers(0, 2**32))
+def test_no_history_spends_more_than_the_whole(seed: int) -> None:
+    walk(Random(seed), make)
+
+
+def test_all_interleavings_to_a_depth_of_six() -> None:
+    """Explicit states: every order of a few moves of three agents, datagrams lost, late and twice among them."""
+    first: list[tuple[str, int, int]] = [("ask", 0, 1), ("ask", 0, 2), ("ask", 2, 1), ("give", 0, 0), ("give", 0, 1),
+                                         ("give", 1, 0), ("time", LEASE // 2, 0), ("time", LEASE, 0),
+                                         ("restart", 1, 0), ("free", 0, 0)]
+    visited = 0
+
+    def play(moves: tuple[int, ...]) -> Model | None:
+        m = Model(make)
+        for a in m.agents[::2]:
+            a.escrow.need = 3 * PARTS
+        m.agents[1].escrow.need = 0
+        for move in moves:
+            kind, x, y = first[move]
+            if kind == "ask":
+                m.ask(x, y)
+            elif kind == "give":
+                if x >= len(m.wire):
+                    return None
+                m.deliver(x, keep=bool(y))
+            elif kind == "time":
+                m.now += x
+            elif kind == "restart":
+                m.restart(x)
+            else:
+                m.agents[x].escrow.need = 0
+                m.release(x)
+                m.agents[x].escrow.need = 3 * PARTS
+            assert m.spendable() <= 3 * PARTS, moves
+        return m
+
+    frontier: list[tuple[int, ...]] = [()]
+    for depth in range(6):
+        seen: set[object] = set()
+        following: list[tuple[int, ...]] = []
+        for moves in frontier:
+            for move in range(len(first)):
+                m = play((*moves, move))
+                if m is None:
+                    continue
+                state = (m.now, tuple(m.wire), tuple(
+                    (a.life, a.nonce, a.escrow.need, tuple(a.escrow._lent.items()), tuple(a.escrow._held.items()),
+                     tuple(a.escrow._asked.items()), tuple(a.escrow._newest.items()), a.escrow.whole_from)
+                    for a in m.agents))
+                if state not in seen:
+                    seen.add(state)
+                    following.append((*moves, move))
+        visited += len(following)
+        frontier = following if depth < 4 else following[::7]  # the last level is sampled evenly
+    assert visited > 20_000
+
+
+class NoExpiryCheck(Escrow):
+    def right(self, now: int) -> module.Right:
+        own = self._own(now)
+        return module.Right(own + sum(a for a, _ in self._held.values()), 2**62, own)
+
+
+class BorrowerCountsFromTheGrant(Escrow):
+    def granted(self, now: int, lender: int, nonce: int, amount: int) -> bool:
+        if self._asked.pop((lender, nonce), None) is None:
+            return False
+        self._held[lender, nonce] = amount, now + self.lease_us
+        return True
+
+
+class NoDrift(Escrow):
+    @property
+    def lent_for_us(self) -> int:
+        return self.lease_us
+
+    @property
+    def held_for_us(self) -> int:
+        return self.lease_us
+
+
+class WholeAfterARestart(Escrow):
+    def __init__(self, now: int, lease_us: int) -> None:
+        super().__init__(now, lease_us, settled=True)
+
+
+class GrantsAnyAsk(Escrow):
+    """An ask that comes twice is granted twice, and the second lease takes the first one's place."""
+
+    def asked(self, now: int, borrower: int, life: int, nonce: int, wanted: int) -> int:
+        self._newest.pop(borrower, None)
+        self._lent.pop((borrower, life, nonce), None)
+        return super().asked(now, borrower, life, nonce, wanted)
+
+
+class TakesAnyGrant(Escrow):
+    def granted(self, now: int, lender: int, nonce: int, amount: int) -> bool:
+        self._held[lender, now] = amount, now + self.held_for_us
+        return True
+
+
+class IgnoresLife(Escrow):
+    """Whose ask it was, before or after a restart, is not told apart."""
+
+    def asked(self, now: int, borrower: int, life: int, nonce: int, wanted: int) -> int:
+        self._newest.pop(borrower, None)
+        return super().asked(now, borrower, 0, nonce, wanted)
+
+
+class LendsWhatItHolds(Escrow):
+    def _own(self, now: int) -> int:
+        return super()._own(now) + sum(a for a, _ in self._held.values())
+
+
+class KeepsWhatItReleases(Escrow):
+    def release(self, now: int) -> list[tuple[int, int]]:
+        before = dict(self._held)
+        given = super().release(now)
+        self._held = before
+        return given
+
+
+class LendsBeforeItIsWhole(Escrow):
+    def _own(self, now: int) -> int:
+        return PARTS - sum(a for a, _ in self._lent.values())
+
+
+@pytest.mark.parametrize("planted", [
+    NoExpiryCheck, BorrowerCountsFromTheGrant, NoDrift, WholeAfterARestart, GrantsAnyAsk, TakesAnyGrant, IgnoresLife,
+    LendsWhatItHolds, KeepsWhatItReleases, LendsBeforeItIsWhole])
+def test_planted_defects_are_found(planted: type[Escrow]) -> None:
+    for seed in range(2000):
+        try:
+            walk(Random(seed), lambda now: planted(now, LEASE))
+        except AssertionError:
+            return
+    raise AssertionError(f"{planted.__name__} was not found")
+
+
+def test_a_process_that_slept_through_its_lease_spends_nothing_of_it() -> None:
+    lender, borrower = Escrow(0, LEASE, settled=True), Escrow(0, LEASE, settled=True)
+    lender.need, borrower.need = 0, 2 * PARTS
+    wanted = borrower.ask(0, 1, 1)
+    lent = lender.asked(10, 0, 1, 1, wanted)
+    assert lent == PARTS - KEPT and borrower.granted(20, 1, 1, lent)
+    right = borrower.right(20)
+    assert right.amount == 2 * PARTS - KEPT and right.after == PARTS and right.until <= LEASE * 0.99
+    assert borrower.right(30 * LEASE).amount == PARTS
+    assert lender.right(LEASE // 2).amount == KEPT and lender.right(2 * LEASE).amount == PARTS
+
+
+def test_a_grant_that_comes_after_its_lease_is_none() -> None:
+    borrower = Escrow(0, LEASE, settled=True)
+    borrower.need = 3 * PARTS
+    assert borrower.ask(0, 1, 1) == 2 * PARTS
+    assert not borrower.granted(LEASE, 1, 1, PARTS)
+    assert not borrower.granted(10, 2, 1, PARTS)  # nor one by somebody who was not asked
+    assert borrower.right(LEASE).amount == PARTS
+
+
+def test_of_a_doubled_number_nobody_spends() -> None:
+    e = Escrow(0, LEASE, settled=True)
+    e.doubled = True
+    assert e.right(0).amount == 0 and e.asked(0, 1, 1, 1, PARTS) == 0
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -23,7 +23,9 @@
     Send,
 )
 from brasshead.logic.entities import Request
-from brasshead.logic.evidence import AT_ONCE, LEAVES_WORK, VOTES, Fading, tells_full, usual
+from brasshead.logic.evidence import AT_ONCE, LEAVES_WORK, tells_full
+from brasshead.mechanisms.fading import Fading
+from brasshead.mechanisms.majority import VOTES, usual
 from brasshead.logic.slow_start import SlowStart
 from emulator.lab.module import here
 from emulator.lab.scripts import SCRIPTS
--- a/tests/test_fleet_bounds.py
+++ b/tests/test_fleet_bounds.py
@@ -98,9 +98,9 @@
     budgets = [ColdBudget(settings, Random(i)) for i in range(siblings)]
     for b in budgets:
         b.credit = 1.0  # at worst each has one held back
-        b.rate = 1e-12
+        b.whole = 1e-12
         b.look(servers, now, pace)
-    all_send = sum(1 + b.rate * window for b in budgets)
+    all_send = sum(1 + b.whole * b.part * window for b in budgets)
     pushes_over = multiple * sum(budgets[0].warmth(s, now) for s in servers) / pace * window
     if siblings < 0.4 * pushes_over:  # of more agents than that no bound that each keeps alone can hold
         assert all_send <= pushes_over * 1.001
