--- a/tests/test_emulator_run.py
+++ b/tests/test_emulator_run.py
@@ -100,7 +100,7 @@
 
 def test_a_run_that_is_cancelled_while_a_process_starts_leaves_none(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    """Between its start and its first line nobody but the starter knows of it: Ctrl-C then left it running."""
+    """Between its start and its first line nobody else knows of it: Ctrl-C then left it running."""
     async def run() -> None:
         async def cancelled(*_: Any) -> bytes:
             raise asyncio.CancelledError
@@ -110,7 +110,8 @@
         with pytest.raises(asyncio.CancelledError):
             await start_fleet(path, 1)
         with pytest.raises(asyncio.CancelledError):
-            await start(load(path), 0, 1, {"revision": 1, "complete": True, "members": []}, tmp_path)
+            await start(load(path), 0, 1, {"revision": 1, "complete": True, "members": []},
+                        tmp_path)
 
     before = set(children(os.getpid()))
     asyncio.run(run())
