--- a/emulator/virtual/peers.py
+++ b/emulator/virtual/peers.py
@@ -47,7 +47,7 @@
         self.links = Links(rules or [], Random(f"{seed} links"))
         self._settings: dict[str, Any] = {"told": agents, "seed": seed, **settings}
         self._drift, self._make = drift, make
-        self._heap: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._heap: list[tuple[int, int, Callable[..., object], tuple[Any, ...]]] = []
         self._order = 0
         self.processes: dict[int, Process] = {}
         self.all: list[Process] = []
@@ -57,7 +57,7 @@
         for n in range(agents):
             self.start(n)
 
-    def at(self, time_us: int, call: Callable[..., None], *arguments: Any) -> None:
+    def at(self, time_us: int, call: Callable[..., object], *arguments: Any) -> None:
         self._order += 1
         heappush(self._heap, (max(time_us, self.now), self._order, call, arguments))
 
--- a/lilacsill/peers/fleet.py
+++ b/lilacsill/peers/fleet.py
@@ -44,7 +44,7 @@
 
     def __init__(self, settings: Settings, now: int, life: int) -> None:
         self.settings = s = settings
-        rng = self._rng = Random(f"{s.seed} peers {s.me}")
+        rng = self._rng = Random(f"{s.seed} peers {s.me} {life}")
         self.gate = Gate(s.me, s.fleet, s.agents, s.secrets)
         self.notes = Notes(s.me)
         self.news, self._tallies = Gossip(s.agents), Gossip(s.agents)
--- a/lilacsill/peers/membership.py
+++ b/lilacsill/peers/membership.py
@@ -20,7 +20,9 @@
 DIRECT = 0.4  # of a period, for the answer; then others are asked
 STALL = 0.5  # of a period later than due: this process stood still
 KNOCKS = 3  # probes a period to members that are not known to live, while those are most; else one
+LAST_CALLS = 6  # periods before a suspicion ends in which its member is asked directly
 RELAYED_MOST = 64  # probes made for others that are still out
+LIFE_STEP = 256  # milliseconds; most by which a life that is taken on outbids the one before
 LIVES_MOST = 4  # younger lives that this process takes on; then another one has its number for good
 
 Send = Callable[[int, Record], None]
@@ -32,6 +34,7 @@
     state: State = State.UNKNOWN
     since: int = 0
     heard_at: int = 0  # by itself; 0: never
+    told_at: int = 0  # when it was last told what is said of it
     agents: int = 0  # how many its own list names
     cause: Cause = (0, 0)
     suspicion: Suspicion | None = None
@@ -113,7 +116,11 @@
 
     def tick(self, now: int) -> None:
         for number, m in list(self._suspected.items()):
-            if m.suspicion is not None and m.suspicion.due <= now:
+            if m.suspicion is None or m.suspicion.due > now:
+                continue
+            if m.heard_at > m.suspicion.began:  # it spoke since, and only its refutation was lost: once more
+                m.suspicion = Suspicion(now, self.me, self.agents, self._period)
+            else:
                 # An agent that has heard nobody for as long as a suspicion lasts is itself the one that is cut off,
                 # and says so to nobody; for itself it still must do without them.
                 self._turn(number, m, State.DEAD, m.stamp, self.me, m.cause, now, tell=not self.cut_off(now))
@@ -153,6 +160,7 @@
             self._probe = _Probe(target, self._new_nonce(), now)
             self._ping(target, self._probe.nonce)
         self._knock()
+        self._last_calls(now)
         self._period_at = now + int(self._period * (1 + self.doubt) * (0.9 + 0.2 * self._rng.random()))
 
     def _next_target(self) -> int | None:
@@ -172,6 +180,13 @@
         for number in self._rng.sample(away, min(len(away), KNOCKS if 2 * len(away) > len(self.members) else 1)):
             self._ping(number, self._new_nonce())
 
+    def _last_calls(self, now: int) -> None:
+        """To those that are soon held dead on others' word: one whose refutations were lost answers this."""
+        soon = [n for n, m in self._suspected.items()
+                if m.suspicion is not None and m.suspicion.due - LAST_CALLS * self._period * (1 + self.doubt) <= now]
+        for number in soon[:KNOCKS]:
+            self._ping(number, self._new_nonce())
+
     def _ping(self, to: int, nonce: int) -> None:
         m = self.members[to]
         if m.state in (State.SUSPECT, State.DEAD, State.LEFT):  # Lifeguard's buddy system: it hears that first
@@ -180,6 +195,7 @@
 
     def _ask_others(self, p: _Probe) -> None:
         p.indirect = True
+        self._ping(p.target, p.nonce)  # once more: the first one may just have been lost
         others = [n for n, m in self.members.items() if m.state is State.ALIVE and n != p.target]
         for other in self._rng.sample(others, min(INDIRECT, len(others))):
             self._send(other, PingRequest(p.nonce, p.target))
@@ -197,8 +213,10 @@
         m.heard_at = self.heard_at = now
         if stamp > m.stamp or m.state is State.UNKNOWN:
             self._turn(sender, m, State.ALIVE, stamp, sender, self._begin(), now)
-        elif m.state in (State.SUSPECT, State.DEAD):
-            # It must hear of it to refute it; until then others would not believe this process either.
+        elif m.state in (State.SUSPECT, State.DEAD) and now - m.told_at >= self._period // 2:
+            # It must hear of it to refute it; until then others would not believe this process either. Not at every
+            # datagram: two that hold each other dead would answer each other without end.
+            m.told_at = now
             self._send(sender, Rumour(sender, m.stamp, m.state, self.me, m.cause))
 
     def take(self, sender: int, record: Record, now: int) -> None:
@@ -219,7 +237,7 @@
         elif isinstance(record, Stale):
             self._outlive(record.stamp)
         elif isinstance(record, Rumour):
-            self._rumour(record, now)
+            self._rumour(sender, record, now)
         elif isinstance(record, View):
             for number, m in self.members.items():
                 if m.state is State.UNKNOWN and number >> 3 < len(record.alive) and (
@@ -250,9 +268,9 @@
             self._send(asked[0], Ack(asked[1]))
             del self._relayed[nonce]
 
-    def _rumour(self, r: Rumour, now: int) -> None:
+    def _rumour(self, sender: int, r: Rumour, now: int) -> None:
         if r.member == self.me:
-            return self._about_me(r)
+            return self._about_me(sender, r)
         m = self.members.get(r.member)
         if m is None:
             return
@@ -263,13 +281,16 @@
         elif (r.stamp, r.state) > (m.stamp, m.state) and r.state is not State.UNKNOWN:
             self._turn(r.member, m, r.state, r.stamp, r.by, r.cause, now)
 
-    def _about_me(self, r: Rumour) -> None:
-        """Whoever speaks of a life that is over, or of this one as alive, needs no answer."""
+    def _about_me(self, sender: int, r: Rumour) -> None:
+        """Refuted to all by gossip, and to who said it at once: gossip that is lost may pass one member by for ever."""
         if r.stamp >> LIFE_SHIFT > self.stamp >> LIFE_SHIFT:
             return self._outlive(r.stamp)
-        if r.stamp >= self.stamp and r.state is not State.ALIVE:
+        if r.state is State.ALIVE or r.stamp >> LIFE_SHIFT < self.stamp >> LIFE_SHIFT:
+            return
+        if r.stamp >= self.stamp:
             self.doubt = min(DOUBT_MOST, self.doubt + 1)
             self._tell_stamp(r.stamp + 1, r.cause)
+        self._send(sender, Rumour(self.me, self.stamp, State.ALIVE, self.me, r.cause))
 
     def _outlive(self, stamp: int) -> None:
         """The clock went back since the process before, or another process has this number: take a younger life."""
@@ -279,7 +300,9 @@
         if self._lives > LIVES_MOST:
             self.doubled = True  # no end of it: two processes would drive each other up for ever
             return
-        self._tell_stamp(((stamp >> LIFE_SHIFT) + 1) << LIFE_SHIFT, self._begin())
+        # By chance, or two processes of one number would come to the same life and pass for one.
+        life = (stamp >> LIFE_SHIFT) + 1 + self._rng.randrange(LIFE_STEP)
+        self._tell_stamp(life << LIFE_SHIFT, self._begin())
 
     def _tell_stamp(self, stamp: int, cause: Cause) -> None:
         self.stamp = stamp
--- a/lilacsill/peers/suspicion.py
+++ b/lilacsill/peers/suspicion.py
@@ -3,7 +3,7 @@
 
 from math import log, log10
 
-LEAST, MOST = 4.0, 6.0  # periods for each decimal digit of the fleet; the longest is so many times the shortest
+LEAST, MOST = 6.0, 4.0  # periods for each decimal digit of the fleet; the longest is so many times the shortest
 WITNESSES = 3  # further ones that bring the time down to its least
 
 
