--- a/emulator/processes/rig.py
+++ b/emulator/processes/rig.py
@@ -119,7 +119,7 @@
     def __init__(self, nursery: Pipe, relay: Pipe, addresses: dict[str, Any], folder: Path,
                  config: Callable[[int], dict[str, Any]], operator: str, sockets: int) -> None:
         self._nursery, self._relay, self._folder = nursery, relay, folder
-        self._addresses, self._config, self._operator, self._sockets = addresses, config, operator, sockets
+        self.addresses, self._config, self._operator, self._sockets = addresses, config, operator, sockets
         self.agents: dict[int, Child] = {}
         self._by_name: dict[str, Child] = {}
         self._starts = 0
@@ -132,7 +132,7 @@
     def begin(self, number: int, **env: str) -> Child:
         """A process under that number; it is started, and may not serve yet."""
         doc = self._config(number)
-        doc |= {"peer_listen": self._addresses["listens"][number], "peers": self._addresses["peers"],
+        doc |= {"peer_listen": self.addresses["listens"][number], "peers": self.addresses["peers"],
                 "listen": doc.get("listen", "127.0.0.1:0"), "admin_addr": "127.0.0.1:0"}
         path = self._folder / f"n{number}.json"
         path.write_text(json.dumps(doc))
--- a/lilacsill/peers/feed.py
+++ b/lilacsill/peers/feed.py
@@ -18,8 +18,9 @@
 
 COLD = BUDGETS.index("cold")
 LOOK_US = 250_000  # between looks at who is ill, while something goes wrong
+IDLE_LOOK_US = 1_000_000  # and while nothing does that this observer hears of: probes fail unheard
 ILL_LASTS_US = 4_000_000  # a judgement that nobody renews ends after so long
-BAD = frozenset(q.Outcome) - {q.Outcome.OK, q.Outcome.CANCELLED, q.Outcome.NOT_SENT}
+WELL = (q.Outcome.OK, q.Outcome.CANCELLED)  # after anything else it is worth asking the module who is ill
 REFUSED = 503
 CALLS = 4096
 HEADROOM = 1.25  # above the own part of all traffic, what is asked of a budget
@@ -61,7 +62,7 @@
             self._count(CROSSINGS, number)
         if outcome is q.Outcome.OK:
             self._fleet.judgements.answered(str(backend), self._clock.now())
-        elif outcome in BAD:
+        elif outcome not in WELL:
             self._bad = True
 
     def answered(self, number: int, status: int) -> None:
@@ -90,17 +91,18 @@
     def changed(self) -> None:
         """After every event between agents."""
         now = self._clock.now()
-        if now - self._looked_at >= LOOK_US:
+        if now - self._looked_at >= (LOOK_US if self._bad or self._ill else IDLE_LOOK_US):
             self._looked_at = now
             self._look(now)
         self._tell_module(now)
         self._say(now)
 
     def _look(self, now: int) -> None:
-        if self._bad or self._ill:
-            self._bad = False
-            self._ill = {str(b.backend) for b in self._beliefs() if not b.admitted}
-            self._fleet.ill(self._ill, now, ILL_LASTS_US)
+        self._bad = False
+        ill = {str(b.backend) for b in self._beliefs() if not b.admitted}
+        if ill or self._ill:
+            self._ill = ill
+            self._fleet.ill(ill, now, ILL_LASTS_US)
         cold = any(s and now - s < self._warm_up for s in self._started.values())
         self._fleet.need(COLD, HEADROOM * self._part_of_traffic() if cold else 0.0)
 
@@ -116,6 +118,8 @@
         if event != self._told:
             self._told = event
             self._post(event)
+        if not self._hearsay and not self._fleet.judgements.standing:
+            return  # nearly always
         heard = {h.backend: q.HearsayChanged(h.backend, h.excluded, h.seen_at, h.until)
                  for h in self._fleet.hearsay(now)}
         for name, hearsay in heard.items():
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -267,6 +267,7 @@
     def __init__(self, folder: Path) -> None:
         self._path = folder / "config.json"
         self.door = 0  # the port of the operators' door
+        self.seen: list[str] = []  # lines of the log that were read
 
     def write(self, text: str) -> None:
         fresh = self._path.with_suffix(".new")
@@ -302,6 +303,7 @@
         assert self.process.stderr is not None
         while part.encode() not in (line := await self.process.stderr.readline()):
             assert line, "ended"
+            self.seen.append(line.decode())
         return line.decode()
 
     async def client(self) -> Conversation:
--- /dev/null
+++ b/tests/peers/test_judgements.py
@@ -0,0 +1,177 @@
+"""What others say of backends, how many siblings there are, and what of both reaches the agent's module."""
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from brasshead.interface import FleetChanged, HearsayChanged, Outcome, Send
+from lilacsill.peers.judgements import AGE_MOST_MS, CLAIMS_MOST, HEARSAY, WITNESSES, Judgements, tag_of
+from lilacsill.peers.records import Judgement, Verdict
+from lilacsill.peers.siblings import CALM_US, Siblings
+from tests.helpers import MS, SECOND, Drive, only
+
+NAMES = [f"s{i}" for i in range(20)]
+
+
+def room() -> Judgements:
+    j = Judgements(0)
+    j.listed(dict.fromkeys(NAMES, 1), 0)
+    return j
+
+
+def claim(witness: int, name: str, round_: int = 0, verdict: Verdict = Verdict.ILL, age_ms: int = 0,
+          left_ms: int = 4000, life: int = 1) -> Judgement:
+    return Judgement(tag_of(name), verdict, witness, life, round_, age_ms, left_ms, (witness, 1))
+
+
+def test_one_witness_makes_careful_and_three_exclude() -> None:
+    j = room()
+    for witness in range(1, WITNESSES + 1):
+        assert j.heard(claim(witness, "s3"), 1000) is not None
+        [h] = j.verdicts(1000)
+        assert h.backend == "s3" and h.excluded is (witness == WITNESSES)
+
+
+def test_the_same_witness_thrice_is_one() -> None:
+    j = room()
+    for round_ in range(3):
+        j.heard(claim(1, "s3", round_), 1000)
+    assert not j.verdicts(1000)[0].excluded and j.heard(claim(1, "s3", 1), 1000) is None
+
+
+def test_one_that_condemns_all_is_believed_in_nothing() -> None:
+    j = room()
+    for name in NAMES:
+        j.heard(claim(1, name), 1000)
+    assert not j.verdicts(1000)
+
+
+@given(st.integers(0, 2**32))
+def test_liars_leave_out_a_share_at_most_whatever_they_say(seed: int) -> None:
+    rng, j = Random(seed), room()
+    for i in range(300):
+        j.heard(claim(rng.randrange(1, 6), rng.choice([*NAMES, "unknown"]), i, rng.choice(list(Verdict)),
+                      rng.randrange(0, 2 * AGE_MOST_MS), rng.randrange(0, 10**6)), 1000)
+        said = j.verdicts(1000)
+        assert sum(h.excluded for h in said) <= HEARSAY * len(NAMES)
+        assert len(said) <= 2 * HEARSAY * len(NAMES) and {h.backend for h in said} <= set(NAMES)
+    assert j.standing <= 5 * CLAIMS_MOST
+
+
+def test_what_is_older_than_an_own_answer_does_not_count_and_what_is_withdrawn_ends() -> None:
+    j = room()
+    j.answered("s3", 1_000_000)
+    j.heard(claim(1, "s3", age_ms=500), 1_200_000)
+    assert not j.verdicts(1_200_000)
+    j.heard(claim(1, "s3", 1), 1_300_000)
+    assert j.verdicts(1_300_000)
+    j.heard(claim(1, "s3", 2, Verdict.WELL), 1_400_000)
+    assert not j.verdicts(1_400_000)
+
+
+def test_a_claim_ends_with_its_time_its_witness_and_the_backends_process() -> None:
+    for end in range(3):
+        j = room()
+        j.heard(claim(1, "s3", left_ms=1000), 1000)
+        assert j.verdicts(1000)
+        now = 1000
+        if end == 0:
+            now += 1_000_000
+        elif end == 1:
+            j.forget(1)
+        else:
+            j.listed({**dict.fromkeys(NAMES, 1), "s3": 2}, now + 1)
+        assert not j.verdicts(now)
+
+
+def test_one_that_is_cut_off_or_finds_too_many_ill_tells_nothing() -> None:
+    for ill, cut_off, told in (({"s1"}, False, 1), ({"s1"}, True, 0), (set(NAMES[:5]), False, 0)):
+        assert len(room().saw(ill, 1000, 4_000_000, 1, cut_off, (0, 1))) == told
+
+
+def test_a_judgement_is_renewed_by_its_witness_before_it_ends() -> None:
+    j = room()
+    [first] = j.saw({"s1"}, 0, 4_000_000, 1, False, (0, 1))
+    assert not j.saw({"s1"}, 1_000_000, 4_000_000, 1, False, (0, 2))
+    [second] = j.saw({"s1"}, 2_500_000, 4_000_000, 1, False, (0, 3))
+    assert (second.round, second.cause) == (first.round + 1, first.cause)
+    [well] = j.saw(set(), 3_000_000, 4_000_000, 1, False, (0, 4))
+    assert well.verdict is Verdict.WELL and well.round > second.round
+
+
+# Siblings
+
+def test_more_than_told_counts_at_once_and_fewer_only_after_a_calm_by_half() -> None:
+    s = Siblings(told=4, named=40)
+    assert s.number == 40
+    s = Siblings(told=40, named=4)
+    assert s.number == 40
+    now, heard = 1, [(1, 4)] * 3
+    s.look(now, heard)
+    seen = [s.number]
+    while s.number > 4:
+        now += CALM_US // 2
+        heard = [(now, 4)] * 3
+        s.look(now, heard)
+        seen.append(s.number)
+    assert seen == sorted(seen, reverse=True) and 20 in seen and now >= 4 * CALM_US
+
+
+def test_nobody_gets_bolder_while_one_is_out_of_sight_or_lists_differ() -> None:
+    for odd in ((0, 4), (1, 5)):
+        s = Siblings(told=40, named=4)
+        for i in range(1, 20):
+            s.look(i * CALM_US, [(i * CALM_US, 4), (i * CALM_US, 4), (odd[0] and i * CALM_US, odd[1])])
+        assert s.number == 40
+
+
+# The module
+
+def test_a_backend_that_several_found_ill_gets_nothing_until_it_answers_here_or_the_word_ends() -> None:
+    d = Drive(servers=8)
+    d.serve(60)
+    victim = next(iter(d.balancer.members.servers))
+    seen = d.now + 1
+    d.wait(MS)
+    d.event(HearsayChanged(victim, True, seen, d.now + 2 * SECOND))
+
+    def sent(requests: int) -> set[object]:
+        found: set[object] = set()
+        for _ in range(requests):
+            for s in only(d.request()[1], Send):
+                found.add(s.backend)
+                d.end(s, Outcome.OK)
+        return found
+
+    assert victim not in sent(100)
+    d.wait(3 * SECOND)
+    assert victim in sent(200)
+
+
+def test_one_witness_leaves_a_quarter_of_the_chances() -> None:
+    share: dict[bool, int] = {}
+    for said in (False, True):
+        d = Drive(servers=4)
+        d.serve(60)
+        victim = next(iter(d.balancer.members.servers))
+        d.wait(MS)
+        got = 0
+        for _ in range(400):
+            if said:
+                d.event(HearsayChanged(victim, False, d.now + 1, d.now + SECOND))
+            for s in only(d.request()[1], Send):
+                got += s.backend == victim
+                d.end(s, Outcome.OK)
+        share[said] = got
+    assert 0 < share[True] < 0.6 * share[False]
+
+
+def test_a_part_of_nothing_sends_nothing_cold_and_its_end_is_its_own() -> None:
+    for cold_part, then, expected in ((0.0, 0.0, 0), (0.0, 1.0, 1), (1.0, 1.0, 1)):
+        d = Drive(servers=4)
+        cold = d.balancer.sampler.cold
+        cold.whole, cold.credit, cold.at = 1e-6, 0.0, d.now
+        d.event(FleetChanged(4, cold_part, d.now + SECOND, then))
+        assert cold._earned(d.now + 3 * SECOND) == expected
