--- a/lilacsill/peers/feed.py
+++ b/lilacsill/peers/feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import OrderedDict
 from collections.abc import Callable
 
 from brasshead import interface as q
@@ -36,7 +37,7 @@
                  beliefs: Callable[[], list[q.ServerBelief]]) -> None:
         self._clock, self._fleet, self._zone, self._warm_up = clock, fleet, zone, warm_up_us
         self._post, self._beliefs = post, beliefs
-        self._calls: dict[int, tuple[int, int]] = {}  # tenant and class of the newest requests
+        self._calls: OrderedDict[int, tuple[int, int]] = OrderedDict()  # tenant and class of the newest requests
         self._zones: dict[str, int] = {}
         self._started: dict[str, int] = {}
         self._ill: set[str] = set()
@@ -52,7 +53,7 @@
     def arrived(self, call: DownstreamRequest) -> None:
         self._calls[call.number] = min(call.tenant, 255), min(call.request_class, 255)
         if len(self._calls) > CALLS:  # an attempt may end after its request; a client that left is not told of
-            del self._calls[next(iter(self._calls))]
+            self._calls.popitem(last=False)
         self._count(REQUESTS, call.number)
 
     def attempt_ended(self, number: int, attempt: int, backend: q.BackendId, outcome: q.Outcome, latency_us: int,
@@ -83,8 +84,9 @@
         self._fleet.judgements.listed(self._started, self._clock.now())
 
     def _count(self, kind: int, number: int) -> None:
-        if number in self._calls:
-            self._fleet.counts.count(kind, *self._calls[number])
+        call = self._calls.get(number)
+        if call is not None:
+            self._fleet.counts.count(kind, *call)
 
     # What the fleet has come to
 
