emulator fleet joins the records of all agents into stories by the id of what began them

Who said it, who heard it when, who acted: the feed notes what it told the module, backends go by name, and the command reads *.jsonl beside recordings.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -15,7 +15,7 @@
 from . import plan_file, report, scenario_file
 from .agents import AgentError
 from .compare import compare
-from .models import explained, fleet_counts
+from .models import explained, fleet_counts, stories
 from .models.plan import Plan
 from .result import table
 from .run import RunError, play, serve
@@ -56,8 +56,9 @@
     explain.add_argument("--top", type=int, default=8, help="servers shown for each wave, worst first (8)")
     explain.add_argument("--json", action="store_true", help="one JSON line, for programs")
     fleet = commands.add_parser("fleet", help="what all agents of a recorded run did together, by second and backend")
-    fleet.add_argument("folder", help="where the recordings (*.rec) of the agents are")
-    fleet.add_argument("--top", type=int, default=20, help="backends shown, worst first (20)")
+    fleet.add_argument("folder", help="where the recordings (*.rec) of the agents are, and their records of what they "
+                                      "told each other (*.jsonl, [peers] records)")
+    fleet.add_argument("--top", type=int, default=20, help="backends shown, worst first, and stories (20)")
     fleet.add_argument("--json", action="store_true", help="one JSON line, for programs")
     check = commands.add_parser("check", help="check a scenario without playing it")
     check.add_argument("scenario")
@@ -95,8 +96,15 @@
 
 
 def _fleet(arguments: argparse.Namespace) -> int:
-    counts = plan_file.count_fleet(Path(arguments.folder))
-    print(json.dumps(fleet_counts.rows(counts)) if arguments.json else fleet_counts.table(counts, arguments.top))
+    folder = Path(arguments.folder)
+    told = plan_file.join_stories(folder)
+    # Agents may have written the one without the other; a folder with neither is a mistake.
+    counts = None if told and not list(folder.glob("*.rec")) else plan_file.count_fleet(folder)
+    if arguments.json:
+        print(json.dumps({**(fleet_counts.rows(counts) if counts else {}), "stories": stories.rows(told)}))
+        return 0
+    parts = [fleet_counts.table(counts, arguments.top)] if counts else []
+    print("\n\n".join(parts + ([stories.table(told, arguments.top)] if told else [])))
     return 0
 
 
--- a/emulator/plan_file.py
+++ b/emulator/plan_file.py
@@ -9,6 +9,7 @@
 
 from lilacsill.recorder.format import RecordingError, parse
 
+from .models import stories
 from .models.explained import Wave, explain
 from .models.fleet_counts import FleetCounts, count
 from .models.plan import Plan, make_plan
@@ -70,7 +71,8 @@
             head, events = _whole(path)
             recordings[path.stem] = int(head["began_unix_ms"]) * 1000, events
         if not recordings:
-            raise ScenarioError(f"{folder}: no recording (*.rec); `run SCENARIO --record FOLDER` writes some")
+            raise ScenarioError(f"{folder}: no recording (*.rec); `run SCENARIO --record FOLDER` writes some; nor records "
+                                "of agents that know of each other (*.jsonl), which [peers] records writes")
         return count(recordings)
     except OSError as e:
         raise ScenarioError(f"{e.filename}: {e.strerror}") from None
@@ -80,6 +82,19 @@
         raise ScenarioError(f"{folder}: an event that is none: {e}") from None
 
 
+def join_stories(folder: Path) -> list[stories.Story]:
+    """What all agents told each other, where they wrote records; empty without any. Raises ScenarioError."""
+    entries: list[tuple[str, stories.Entry]] = []
+    try:
+        for path in sorted([*folder.glob("*.jsonl"), *folder.glob("*.jsonl.1")]):
+            entries += stories.read(path.read_text().splitlines(), str(path))
+    except OSError as e:
+        raise ScenarioError(f"{e.filename}: {e.strerror}") from None
+    except ValueError as e:  # of another encoding, too
+        raise ScenarioError(str(e)) from None
+    return stories.join(entries)
+
+
 def from_recordings(paths: list[str], seed: int) -> Plan:
     """One recording of each agent; the older half of a ring is read with it. Raises ScenarioError."""
     read_: list[tuple[int, Recording]] = []
--- a/lilacsill/peers/feed.py
+++ b/lilacsill/peers/feed.py
@@ -122,11 +122,14 @@
             self._post(q.FleetChanged(*told))
         if not self._hearsay and not self._fleet.judgements.standing:
             return  # nearly always
-        heard = {h.backend: q.HearsayChanged(h.backend, h.excluded, h.seen_at, h.until)
-                 for h in self._fleet.hearsay(now)}
-        for name, hearsay in heard.items():
-            if self._hearsay.get(name) != hearsay:
-                self._post(hearsay)
+        heard: dict[str, q.HearsayChanged] = {}
+        for h in self._fleet.hearsay(now):
+            event = heard[h.backend] = q.HearsayChanged(h.backend, h.excluded, h.seen_at, h.until)
+            before = self._hearsay.get(h.backend)
+            if before != event:
+                self._post(event)
+            if before is None or before.excluded != event.excluded:
+                self._fleet.acted(now, h)
         for name in self._hearsay.keys() - heard.keys():
             self._post(q.HearsayChanged(name, False, 0, 0))
         self._hearsay = heard
--- a/lilacsill/peers/fleet.py
+++ b/lilacsill/peers/fleet.py
@@ -132,9 +132,15 @@
         """All backends that this agent has by its own evidence found ill, now."""
         cut_off = self.membership.cut_off(now)
         for claim in self.judgements.saw(backends, now, lasts_us, self.life, cut_off, self.notes.begin()):
-            self.notes.note(now, "said", claim.cause, backend=claim.backend, verdict=claim.verdict.name.lower())
+            self.notes.note(now, "said", claim.cause, backend=self.judgements.name_of(claim.backend),
+                            verdict=claim.verdict.name.lower())
             self.news.add(("judged", claim.witness, claim.backend), claim.record(now))
 
+    def acted(self, now: int, on: Hearsay) -> None:
+        """The module was told of it."""
+        for _, cause in on.witnesses:
+            self.notes.note(now, "acted", cause, backend=on.backend, excluded=on.excluded)
+
     def hearsay(self, now: int) -> list[Hearsay]:
         return self.judgements.verdicts(now)
 
@@ -167,8 +173,8 @@
             # How long it lay unread while this process stood still nobody knows.
             claim = self.judgements.heard(record, now) if now >= self._old_until else None
             if claim is not None:
-                self.notes.note(now, "heard", claim.cause, backend=claim.backend, witness=claim.witness,
-                                verdict=claim.verdict.name.lower())
+                self.notes.note(now, "heard", claim.cause, backend=self.judgements.name_of(claim.backend),
+                                witness=claim.witness, verdict=claim.verdict.name.lower())
                 self.news.add(("judged", claim.witness, claim.backend), claim.record(now))
         else:
             self.membership.take(sender, record, now)
--- a/lilacsill/peers/judgements.py
+++ b/lilacsill/peers/judgements.py
@@ -65,6 +65,10 @@
         self._claims: dict[int, dict[int, Claim]] = {}  # by witness and backend
         self._mine: dict[int, Claim] = {}
 
+    def name_of(self, tag: int) -> str:
+        """As the own list has it; of one that it does not name, the tag."""
+        return self._names.get(tag, f"#{tag:x}")
+
     # Own evidence
 
     def listed(self, backends: dict[str, int], now: int) -> None:
