--- a/brasshead/logic/health.py
+++ b/brasshead/logic/health.py
@@ -56,8 +56,9 @@
         elif outcome is not Outcome.NOT_SENT and outcome is not Outcome.CANCELLED:
             s.failing += GAIN * (1.0 - s.failing)
             s.streak += 1
-            at_once = outcome is Outcome.RESET or outcome is Outcome.CONNECT_FAILED or s.allowance > 0 or (
-                fast and outcome is Outcome.ERROR and self.rarely > 1.0)
+            # Where others found it ill this was the look that decides.
+            at_once = (outcome is Outcome.RESET or outcome is Outcome.CONNECT_FAILED or s.allowance > 0
+                       or s.told.until > now or (fast and outcome is Outcome.ERROR and self.rarely > 1.0))
             if at_once or s.streak >= 3 or (s.streak >= 2 and s.failing > 0.3):
                 self.exclude(s, now, outcome.value)
 
--- a/brasshead/logic/sampling.py
+++ b/brasshead/logic/sampling.py
@@ -22,7 +22,7 @@
 SHUN_US = 250_000  # where it cannot be asked, one that holds nothing of ours is tried again after so long
 REINDEX = 4  # the cutoffs of n servers serve n / 4 picks: the cost of a pick must not grow with n
 PROBE_SPEND = 0.01  # the most of the goal that asking both samples of every request may cost
-LOOKED_AT = 0.25  # of requests may still sample a server that another balancer has found ill
+LOOKED_AT = 0.5  # of requests may still sample a server that another balancer has found ill
 ASK_SHARE = 0.05  # asking may take, and a report may be old, this share of the time to the aim
 
 
--- a/emulator/models/stories.py
+++ b/emulator/models/stories.py
@@ -1,8 +1,8 @@
 """What agents told each other, joined over all of them: each entry carries the id of what began its story.
 
-A record is one line of JSON as `[peers] records` has it: `event`, `at_unix_us`, `agent`, `cause` ("3.17": begun by agent
-3 as its 17th) and what belongs to its kind. Wall clocks put the entries of a story in order; between hosts that order
-is as good as they are.
+A record is one line of JSON as `[peers] records` has it: `event`, `at_unix_us`, `agent`, `cause` ("3.17": begun by
+agent 3 as its 17th) and what belongs to its kind. Wall clocks put the entries of a story in order; between hosts that
+order is as good as they are.
 """
 from __future__ import annotations
 
--- a/lilacsill/peers/channel.py
+++ b/lilacsill/peers/channel.py
@@ -40,6 +40,7 @@
                           agent.beliefs)
         agent.observer = self._feed if agent.observer is None else Both(agent.observer, self._feed)
         self._shell = Shell(clock, self.fleet, listen, config.peers, self._changed)
+        self._feed.wake = self._shell.wake
         if section.records or section.metrics:
             from .telling import Telling
 
--- a/lilacsill/peers/feed.py
+++ b/lilacsill/peers/feed.py
@@ -18,7 +18,7 @@
 log = logging.getLogger(__name__)
 
 COLD = BUDGETS.index("cold")
-LOOK_US = 250_000  # between looks at who is ill, while something goes wrong
+LOOK_US = 100_000  # between looks at who is ill, while something goes wrong
 IDLE_LOOK_US = 1_000_000  # and while nothing does that this observer hears of: probes fail unheard
 ILL_LASTS_US = 4_000_000  # a judgement that nobody renews ends after so long
 WELL = (q.Outcome.OK, q.Outcome.CANCELLED)  # after anything else it is worth asking the module who is ill
@@ -47,6 +47,7 @@
         self._hearsay: dict[str, q.HearsayChanged] = {}
         self._lines, self._minute, self._unsaid = 0, 0, 0
         self.takes_part = False  # the channel is open
+        self.wake: Callable[[], None] = lambda: None  # of the channel: what is then to be sent goes out
 
     # What the agent sees
 
@@ -63,8 +64,9 @@
             self._count(CROSSINGS, number)
         if outcome is q.Outcome.OK:
             self._fleet.judgements.answered(str(backend), self._clock.now())
-        elif outcome not in WELL:
+        elif outcome not in WELL and not self._bad:
             self._bad = True
+            self._clock.after(LOOK_US, self.wake)  # nothing need come from others before the look
 
     def answered(self, number: int, status: int) -> None:
         if status == REFUSED:
@@ -101,10 +103,9 @@
 
     def _look(self, now: int) -> None:
         self._bad = False
-        ill = {str(b.backend) for b in self._beliefs() if not b.admitted}
-        if ill or self._ill:
-            self._ill = ill
-            self._fleet.ill(ill, now, ILL_LASTS_US)
+        self._ill = {str(b.backend) for b in self._beliefs() if not b.admitted}
+        if self._ill or self._fleet.judgements.claims:
+            self._fleet.ill(self._ill, now, ILL_LASTS_US)
         cold = any(s and now - s < self._warm_up for s in self._started.values())
         self._fleet.need(COLD, HEADROOM * self._part_of_traffic() if cold else 0.0)
 
--- a/lilacsill/peers/fleet.py
+++ b/lilacsill/peers/fleet.py
@@ -131,10 +131,16 @@
     def ill(self, backends: set[str], now: int, lasts_us: int) -> None:
         """All backends that this agent has by its own evidence found ill, now."""
         cut_off = self.membership.cut_off(now)
+        alive = self.membership.alive()
         for claim in self.judgements.saw(backends, now, lasts_us, self.life, cut_off, self.notes.begin()):
             self.notes.note(now, "said", claim.cause, backend=self.judgements.name_of(claim.backend),
                             verdict=claim.verdict.name.lower())
-            self.news.add(("judged", claim.witness, claim.backend), claim.record(now))
+            record = claim.record(now)
+            self.news.add(("judged", claim.witness, claim.backend), record)
+            if claim.round == 0:  # at once to as many as news goes to in the end: while it rides, others send there
+                for member in self._rng.sample(alive, min(self.news.sends, len(alive))):
+                    self._outbox.send(member, record)
+        self._settle(now)
 
     def acted(self, now: int, on: Hearsay) -> None:
         """The module was told of it."""
--- a/lilacsill/peers/judgements.py
+++ b/lilacsill/peers/judgements.py
@@ -101,10 +101,21 @@
                 if not quiet:
                     told.append(claim)
         for tag in [t for t in self._mine if t not in tags]:
-            was = self._mine.pop(tag)
+            was = self._mine[tag]
+            if self._well_at.get(tag, 0) <= was.seen_at:
+                # Let in again for a trial, and it has answered nothing yet: no reason to take the word back.
+                if was.until <= now:
+                    del self._mine[tag]
+                continue
+            del self._mine[tag]
             told.append(Claim(tag, Verdict.WELL, self.me, life, was.round + 1, now, now + lasts_us, was.cause))
         return told
 
+    @property
+    def claims(self) -> int:
+        """How many backends this process has condemned and not taken back."""
+        return len(self._mine)
+
     # Others' words
 
     def heard(self, j: Judgement, now: int) -> Claim | None:
--- a/lilacsill/peers/shell.py
+++ b/lilacsill/peers/shell.py
@@ -109,6 +109,12 @@
             # answer that comes nearly always, is nearly always cancelled in an agent that is otherwise idle.
             self._timer = self._loop.call_later(max(0, due - self._clock.now()) / 1e6, self._tick)
         self._changed()
+        self._send()  # what that led to
+
+    def wake(self) -> None:
+        """What happened in the agent may be for the others."""
+        if self._socket is not None:
+            self._after()
 
     def _send(self) -> None:
         for member, data in self.fleet.take():
