--- a/lilacsill/peers/fleet.py
+++ b/lilacsill/peers/fleet.py
@@ -65,7 +65,6 @@
         self._ready: list[tuple[int, bytes]] = []
         self._told: dict[tuple[int, int], tuple[int, int, int, int]] = {}  # own counts, as last told
         self._all_live_since = 0
-        self._stood_at = 0
         self._healed = 0  # periods since others were found again; 0: long ago
         self._last_period = now
         self._back: list[int] = []  # which ones, not yet told of what they have missed
@@ -156,7 +155,6 @@
         late = self.membership.woke(now)
         if late:
             self._old_until = now + int(BACKLOG * late)
-            self._stood_at = now
             self.notes.note(now, "stood_still", self.notes.begin(), ms=late // 1000)
 
     def _take(self, sender: int, stamp: int, record: Record, now: int) -> None:
--- a/tests/peers/test_escrow.py
+++ b/tests/peers/test_escrow.py
@@ -9,7 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from emulator.virtual.peers import World
 from lilacsill.peers import escrow as module
+from lilacsill.peers import fleet as fleet_module
 from lilacsill.peers.escrow import KEPT, Escrow
 from lilacsill.peers.fleet import Fleet, Settings
 from lilacsill.peers.records import LIFE_SHIFT, PARTS, Grant
@@ -365,3 +367,33 @@
             assert lender.asked(now, 0, 1, nonce, borrower.ask(now, whom, nonce)) == 0
         now += LEASE // 4 + LEASE // 50
     assert lender.right(now).amount == PARTS == borrower.right(now).amount
+
+
+def killed_while_it_grants() -> None:
+    """A fleet in virtual time: each lender dies as soon as it has lent, and comes back at once."""
+    n = 6
+    w = World(n, seed=3)
+    w.run(5 * LEASE)
+    for p in w.running():
+        p.fleet.need(0, float(n) if p.number == 0 else 0.0)
+
+    def watch() -> None:
+        assert w.spendable(0) <= n * PARTS
+
+    w.watch = watch
+    died = 0
+    for _ in range(400):
+        w.run(w.now + LEASE // 50)
+        for p in w.running():
+            if p.number and p.fleet.escrow[0].lent(p.clock(w.now)):
+                w.restart(p.number).fleet.need(0, 0.0)
+                died += 1
+    assert died >= 5
+
+
+def test_one_that_is_killed_while_it_grants_does_not_spend_it_in_its_next_life(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    killed_while_it_grants()
+    monkeypatch.setattr(fleet_module, "Escrow", lambda now, lease_us, settled: WholeAfterARestart(now, lease_us))
+    with pytest.raises(AssertionError):
+        killed_while_it_grants()
