Faults between processes as scenario rows; hundreds of agents in emulator run

The operators ask how many processes behave together when some fail.

Rows: agent_kill, agent_stall (bursts), agent_restart, power_loss (agents, servers, discovery, each back at a time drawn for it), partition both ways or one way from agents, servers or discovery, lossy, late; groups by number, zone and share. Agents from the nursery keep their address through restarts. Servers have an address for each side of agents, at which a cut is silent and heals; keys that ran are shared by the processes with servers. The judge forgives what a killed or stopped agent held and what a cut hides, and nothing else.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -17,8 +17,9 @@
 from .compare import compare
 from .models import explained, fleet_counts, stories
 from .models.plan import Plan
+from .parts import RunError
 from .result import table
-from .run import RunError, play, serve
+from .run import play, serve
 from .sockets.finely import run_finely
 
 EXAMPLES = """examples:
--- a/emulator/agents.py
+++ b/emulator/agents.py
@@ -27,7 +27,7 @@
     f, most_us = s.fleet, int(s.load.retry_after_max_s * 1e6)
     return {
         "allowed": {"cancel": True, "connIdleUs": int(f.idle_s * 1e6), "connectTimeoutUs": 250_000, "maxAttempts": 5,
-                    "peers": False, "probes": True, "retryAfter": True, "maxRetryAfterUs": most_us,
+                    "peers": s.peers.enabled, "probes": True, "retryAfter": True, "maxRetryAfterUs": most_us,
                     "secondCopies": False},
         "profiles": [{"name": c.name, "aimUs": int(c.aim_ms * 1000), "deadlineUs": int(c.deadline_ms * 1000),
                       "repeat": EFFECTS[c.effect], "dedupScope": "all", "memorySpanUs": int(f.memory_s * 1e6),
@@ -43,6 +43,30 @@
     }
 
 
+def figures(pid: int) -> dict[str, float]:
+    """CPU seconds, resident memory in MB and descriptors of a process; empty once it has ended."""
+    try:
+        cpu_s = int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+        pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+        return {"cpu_s": round(cpu_s, 2), "rss_mb": round(pages * os.sysconf("SC_PAGE_SIZE") / 2**20, 1),
+                "descriptors": len(os.listdir(f"/proc/{pid}/fd"))}
+    except OSError:
+        return {}
+
+
+def document(s: Scenario, number: int, discovery: int, known: dict[str, Any], listen: str = "127.0.0.1:0"
+             ) -> dict[str, Any]:
+    """An agent's configuration as the platform writes it."""
+    return {"name": f"n{number}", "listen": listen, "discovery": f"127.0.0.1:{discovery}",
+            "seed": f"{0x8c1f + number:x}", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": s.load.sockets},
+            "settings": settings(s, number), "known": known}
+
+
+def recorder(folder: Path, name: str) -> str:
+    """A section of the operator file by which an agent records there."""
+    return f"[recorder]\nbeliefs_ms = 5\npath = {json.dumps(str((folder / f'{name}.rec').absolute()))}\n"
+
+
 @dataclass
 class Agent:
     """One running agent."""
@@ -57,15 +81,7 @@
             self.process.send_signal(signal.SIGSTOP if still else signal.SIGCONT)
 
     def figures(self) -> dict[str, float]:
-        """CPU seconds, resident memory in MB and descriptors; empty once it has ended."""
-        pid = self.process.pid
-        try:
-            cpu_s = int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
-            pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-            return {"cpu_s": round(cpu_s, 2), "rss_mb": round(pages * os.sysconf("SC_PAGE_SIZE") / 2**20, 1),
-                    "descriptors": len(os.listdir(f"/proc/{pid}/fd"))}
-        except OSError:
-            return {}
+        return figures(self.process.pid)
 
     async def stop(self) -> int:
         if self.process.returncode is None:
@@ -89,15 +105,11 @@
                 record: Path | None = None) -> Agent:
     """Returns when it listens. `record`: a folder for its recording. Raises AgentError."""
     config = folder / f"n{number}.json"
-    config.write_text(json.dumps({
-        "name": f"n{number}", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery}",
-        "seed": f"{0x8c1f + number:x}", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": s.load.sockets},
-        "settings": settings(s, number), "known": known}))
+    config.write_text(json.dumps(document(s, number, discovery, known)))
     env = {**os.environ, "RELAY_CONFIG": str(config)}
     if record is not None:
         operator = folder / f"n{number}.toml"
-        operator.write_text(f"[recorder]\nbeliefs_ms = 5\n"
-                            f"path = {json.dumps(str((record / f'n{number}.rec').absolute()))}\n")
+        operator.write_text(recorder(record, f"n{number}"))
         env["LILACSILL_OPERATOR"] = str(operator)
     # A group of its own: Ctrl-C reaches the emulator, which then ends the agents in order.
     process = await asyncio.create_subprocess_exec(
--- a/emulator/models/plan.py
+++ b/emulator/models/plan.py
@@ -8,13 +8,15 @@
 from math import pi, sin
 from random import Random
 
-from .scenario import Scenario, Trouble
+from .faults import AgentFault, LinkFault, agent_faults, drawn, link_fault, sides
+from .scenario import OF_AGENTS, OF_LINKS, Scenario, Trouble
 from .server import ServerSpec, Span
 
 SECOND = 1_000_000
 RESTART_S = (1.0, 3.0)  # a process that died comes back after so long, at the least
 DEFAULT_SIZE = {"death": 6.0, "deploy": 2.0, "pauses": 0.2, "neighbour": 0.5, "heavy_tail": 10.0, "flood": 5.0,
-                "reconnect_storm": 300.0, "agent_pause": 0.15}
+                "reconnect_storm": 300.0, "agent_pause": 0.15, "agent_kill": 3.0, "agent_stall": 2.0, "power_loss": 4.0,
+                "late": 200.0}
 
 
 @dataclass(slots=True)
@@ -74,8 +76,10 @@
     outages: list[Window] = field(default_factory=list)  # of discovery
     resets: list[Window] = field(default_factory=list)
     spoilt: list[Window] = field(default_factory=list)
-    agent_pauses: list[tuple[int, int]] = field(default_factory=list)  # from when to when they get no CPU
     storms: list[tuple[int, int, int]] = field(default_factory=list)  # start, end, connections a second
+    agent_faults: list[AgentFault] = field(default_factory=list)
+    link_faults: list[LinkFault] = field(default_factory=list)
+    sides: list[int] = field(default_factory=list)  # by agent; empty: all of them are one
     events: list[tuple[int, str]] = field(default_factory=list)  # for the report
 
     def leaving(self) -> list[tuple[int, str]]:
@@ -83,6 +87,9 @@
         return [(n.at, f"{self.incarnations[n.incarnation].id}#{n.incarnation}") for n in self.notices
                 if n.phase != "SERVING"]
 
+    def side(self, agent: int) -> int:
+        return self.sides[agent] if self.sides else 0
+
     @property
     def length_us(self) -> int:
         return int(self.scenario.length_s * SECOND)
@@ -103,6 +110,8 @@
     plan.incarnations = [Incarnation(f"s-{rng.getrandbits(32):08x}", m, 0, -SECOND) for m in range(f.servers)]
     for number, trouble in enumerate(sorted(scenario.troubles, key=lambda t: t.at_s)):
         _Script(plan, Random(f"{seed} trouble {number}")).play(trouble)
+    plan.agent_faults.sort(key=lambda x: x.at)
+    plan.sides = sides(plan.link_faults, scenario.load.agents)
     _notices(plan, Random(f"{seed} discovery"))
     _arrivals(plan, Random(f"{seed} arrivals"))
     return plan
@@ -119,8 +128,16 @@
         size = t.size or DEFAULT_SIZE.get(t.kind, 0.0)
         plan = self.plan
         plan.events.append((start, t.kind.replace("_", " ")))
+        if t.kind in OF_AGENTS:
+            plan.agent_faults += agent_faults(t, size, plan.scenario.load, plan.length_us, self.rng)
+        if t.kind in OF_LINKS:
+            plan.link_faults.append(link_fault(t, size, plan.scenario.load, self.rng))
         if t.kind in ("death", "vanish"):
             self._die(start, int((size or 6.0) * SECOND), self._some(t.part, start), t.kind == "vanish")
+        elif t.kind == "power_loss":
+            for i in self._some(t.part, start):
+                self._die(start, drawn(int(size * SECOND), self.rng), [i], vanishes=False)
+            plan.outages.append(Window(start, start + drawn(int(size * SECOND), self.rng), 1.0))
         elif t.kind == "deploy":
             self._deploy(start, end, t.part, size)
         elif t.kind == "pauses":
@@ -142,7 +159,8 @@
         elif t.kind == "spoilt":
             plan.spoilt.append(Window(start, end, t.part))
         elif t.kind == "agent_pause":
-            plan.agent_pauses.append((start, start + int(size * SECOND)))
+            until = start + int(size * SECOND)
+            plan.agent_faults += [AgentFault(start, until, n, "pause") for n in range(plan.scenario.load.agents)]
         elif t.kind == "reconnect_storm":
             plan.storms.append((start, end, int(size)))
         # A flood and a heavy tail change the arrivals, which are drawn later.
--- a/emulator/result.py
+++ b/emulator/result.py
@@ -15,6 +15,7 @@
 WORST_S = 10.0
 OVER_SHARE_WORTH = 0.1
 FORMAT = 1  # of the JSON result
+AGENTS_SHOWN = 16  # by themselves; more are summed up
 
 
 @dataclass
@@ -127,7 +128,12 @@
             "  latency ms: " + "   ".join(f"{k} {v}" for k, v in r.latency_ms.items())]
     for title, some in (("class", r.by_class), ("tenant", r.by_tenant)):
         rows += [f"  {title:<7} {name:<24} {value:.3f}" for name, value in some.items()]
-    for i, a in enumerate(r.machine.get("agents", [])):
+    agents = r.machine.get("agents", [])
+    if len(agents) > AGENTS_SHOWN:
+        rows.append(f"  {len(agents)} agents: CPU {sum(a.get('cpu_s', 0) for a in agents):.1f} s in all, memory "
+                    f"{max(a.get('rss_mb', 0) for a in agents)} MB and descriptors "
+                    f"{max(a.get('descriptors', 0) for a in agents)} at most")
+    for i, a in enumerate(agents if len(agents) <= AGENTS_SHOWN else ()):
         rows.append(f"  agent n{i}: CPU {a.get('cpu_s', 0)} s, memory {a.get('rss_mb', 0)} MB, "
                     f"descriptors {a.get('descriptors', 0)}")
     if r.breaches:
--- a/emulator/sockets/clients.py
+++ b/emulator/sockets/clients.py
@@ -21,6 +21,7 @@
 class Outcome:
     """What became of an arrival, all its tries counted."""
 
+    number: int  # of the arrival, in the plan
     arrival: Arrival
     at: int  # when it was first sent, on the run's clock
     latency_us: int = 0  # to its last answer
@@ -135,12 +136,14 @@
 
 @dataclass(slots=True)
 class Clients:
-    """All clients of all agents."""
+    """The clients of all agents, or of every `parts`-th agent from `part` on."""
 
     plan: Plan
-    pools: list[Pool]
+    pools: list[Pool]  # by agent
     now: Callable[[], int]
     rng: Random
+    part: int = 0
+    parts: int = 1
     books: list[RequestBook] = field(default_factory=list)
     outcomes: list[Outcome] = field(default_factory=list)
     late_us: list[int] = field(default_factory=list)  # behind the schedule: the emulator's own fault
@@ -149,6 +152,8 @@
     async def run(self, progress: Callable[[int], None]) -> None:
         """Send every arrival at its time, whatever became of those before."""
         for number, arrival in enumerate(self.plan.arrivals):
+            if arrival.agent % self.parts != self.part:
+                continue
             wait_us = arrival.at - self.now()
             if wait_us > 0:
                 await asyncio.sleep(wait_us / 1e6)
@@ -163,7 +168,7 @@
     async def _ask(self, number: int, arrival: Arrival) -> None:
         s = self.plan.scenario
         cls = s.classes[arrival.request_class]
-        outcome = Outcome(arrival, self.now())
+        outcome = Outcome(number, arrival, self.now())
         self.outcomes.append(outcome)
         end = outcome.at + int(cls.deadline_ms * 1000)
         while outcome.tries <= s.load.retries:
@@ -216,7 +221,7 @@
         return status, advice
 
 
-async def storm(port: int, start: int, end: int, rate: int, now: Callable[[], int]) -> int:
+async def storm(address: tuple[str, int], start: int, end: int, rate: int, now: Callable[[], int]) -> int:
     """Connections that say nothing and are held until the agent closes them. Returns how many there were."""
     loop = asyncio.get_running_loop()
     held: list[socket.socket] = []
@@ -228,7 +233,7 @@
             sock.setblocking(False)
             with contextlib.suppress(OSError):
                 sock.bind((f"127.99.{made // 250 % 250}.{made % 250 + 1}", 0))
-                await loop.sock_connect(sock, ("127.0.0.1", port))
+                await loop.sock_connect(sock, address)
             held.append(sock)
             made += 1
             if len(held) > 600:
--- a/emulator/sockets/fleet.py
+++ b/emulator/sockets/fleet.py
@@ -1,7 +1,9 @@
-"""The fleet and its discovery as one process: ``python -m emulator.sockets.fleet SCENARIO SEED``.
+"""Servers and discovery, in one process or several: ``python -m emulator.sockets.fleet SCENARIO SEED [PART PARTS]``.
 
-Prints one line with its ports, reads one line with the time at which the run begins, and when its standard input
-ends prints its books as one line and is gone.
+Machines go round over the processes; the first one has discovery too. Each prints a line with the ports of its servers
+and reads a line with those of all; the first one then prints where discovery is, the others that they are ready. They
+read a line with the time at which the run begins, and when the standard input ends each prints its books as one line
+and is gone.
 """
 from __future__ import annotations
 
@@ -11,27 +13,36 @@
 import sys
 import time
 from dataclasses import asdict
+from functools import partial
+from typing import Any
 
+from ..models.faults import LinkFault, cuts
 from ..models.judge import AttemptBook, TellingBook
 from ..models.plan import Plan
-from ..models.server import RepeatMemory
 from ..plan_file import read
 from .catalog import Catalog, Link, host
 from .finely import run_finely
 from .jobserver import ServerShell
+from .listener import Listener, keep_cut
+from .memory import SharedMemory
 
 LAG_EVERY_S = 0.02
 
 
-def reserve_ports(plan: Plan) -> dict[tuple[int, int], int]:
-    """A port for each address of each machine. A machine's address is its own, so that a port stays free for it."""
-    ports: dict[tuple[int, int], int] = {}
+Ports = dict[tuple[int, int, int], int]  # by machine, its address, and side of agents
+
+
+def reserve_ports(plan: Plan, part: int = 0, parts: int = 1) -> Ports:
+    """A port for each address of each machine of this part. A machine's address is its own, so that a port stays free
+    for it."""
+    ports: Ports = {}
     for x in plan.incarnations:
-        if (x.machine, x.port) not in ports:
-            with socket.socket() as s:
-                s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                s.bind((host(x.machine), 0))
-                ports[x.machine, x.port] = s.getsockname()[1]
+        for side in set(plan.sides or [0]) if x.machine % parts == part else ():
+            if (x.machine, x.port, side) not in ports:
+                with socket.socket() as s:
+                    s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    s.bind((host(x.machine), 0))
+                    ports[x.machine, x.port, side] = s.getsockname()[1]
     return ports
 
 
@@ -48,7 +59,16 @@
         await shell.start()
 
 
-async def run(plan: Plan) -> int:
+async def hear(reader: asyncio.StreamReader) -> dict[str, Any]:
+    """What the one that started this tells next. Raises EOFError once it has gone."""
+    line = await reader.readline()
+    if not line:
+        raise EOFError
+    told: dict[str, Any] = json.loads(line)
+    return told
+
+
+async def run(plan: Plan, part: int, parts: int) -> int:
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: print(f"fleet: {context}", file=sys.stderr))
     began = [int(loop.time() * 1e6) + 10**15]  # until the run begins all is long before it
@@ -61,31 +81,41 @@
     tellings: list[TellingBook] = []
     delays: list[int] = []
     lags: list[int] = []
-    ports = reserve_ports(plan)
-    memory = RepeatMemory(plan.spec.memory_us)
-    shells = [ServerShell(plan, i, (host(x.machine), ports[x.machine, x.port]), memory, now, attempts, fallen, delays)
-              for i, x in enumerate(plan.incarnations)]
-    catalog = Catalog(plan, ports, now, 0, tellings)
-    listeners = [await loop.create_server(lambda a=agent: Link(catalog, a), "127.0.0.1", 0)  # type: ignore[misc]
-                 for agent in range(plan.scenario.load.agents)]
+    reader = asyncio.StreamReader(limit=1 << 24)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    memory = SharedMemory(plan.spec.memory_us, now)
+    mine = reserve_ports(plan, part, parts)
+    print(json.dumps({"ports": [[*of, port] for of, port in mine.items()], "memory": memory.port}), flush=True)
+    told = await hear(reader)
+    memory.join(told["memory"])
+    ports: Ports = {(machine, port, side): number for machine, port, side, number in told["ports"]}
+    sides = sorted(set(plan.sides or [0]))
+    shells = [ServerShell(plan, i, [(host(x.machine), ports[x.machine, x.port, side]) for side in sides], memory, now,
+                          attempts, fallen, delays)
+              for i, x in enumerate(plan.incarnations) if x.machine % parts == part]
     for shell in shells:
         if shell.what.start < 0:
             await shell.start()
-    reader = asyncio.StreamReader(limit=1 << 20)
-    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    catalog = Catalog(plan, ports, now, 0, tellings)
+    doors = [Listener(partial(Link, catalog, agent), ("127.0.0.1", 0))
+             for agent in range(plan.scenario.load.agents if part == 0 else 0)]
+    for door in doors:
+        await door.open()
     catalog.revision = sum(n.at < 0 for n in plan.notices)
-    print(json.dumps({"discovery": [int(s.sockets[0].getsockname()[1]) for s in listeners],
-                      "known": catalog.listing(None)}), flush=True)
-    line = await reader.readline()
-    if not line:
-        return 1
-    began[0] = int(json.loads(line)["t0"])
+    print(json.dumps({"discovery": [door.address[1] for door in doors],
+                      "known": [catalog.listing(None, plan.sides.index(side) if plan.sides else 0) for side in sides]}),
+          flush=True)
+    began[0] = int((await hear(reader))["t0"])
     catalog._unix_ms = int(time.time() * 1000) - now() // 1000
 
+    def cut(x: LinkFault, of: list[Listener]) -> list[asyncio.Task[None]]:
+        return [asyncio.create_task(keep_cut(at, x.out, x.back, (x.start - now()) / 1e6, (x.end - x.start) / 1e6))
+                for at in of]
+
     async def life(shell: ServerShell) -> None:
         if shell.what.start >= 0:
             await asyncio.sleep(max(0.0, (shell.what.start - now()) / 1e6))
-            before = [s for s in shells if s is not shell and s._address == shell._address]
+            before = [s for s in shells if s is not shell and s.listeners[0].address == shell.listeners[0].address]
             for s in before:
                 s.kill()
             await shell.start()
@@ -101,6 +131,11 @@
 
     tasks = [asyncio.create_task(life(s)) for s in shells]
     tasks += [asyncio.create_task(c) for c in (catalog.keep_up(), catalog.outages(), lag())]
+    for x in cuts(plan.link_faults, "servers"):
+        cut_off = {sides.index(plan.side(agent)) for agent in x.agents}
+        tasks += cut(x, [at for shell in shells for n, at in enumerate(shell.listeners) if n in cut_off])
+    for x in cuts(plan.link_faults, "discovery") if doors else ():
+        tasks += cut(x, [doors[agent] for agent in x.agents])
     while line := await reader.readline():
         try:
             await order(shells, line.decode().split())
@@ -121,7 +156,11 @@
 
 
 def main() -> int:
-    return run_finely(run(read(sys.argv[1], int(sys.argv[2]))))
+    part, parts = (int(x) for x in sys.argv[3:5]) if len(sys.argv) > 3 else (0, 1)
+    try:
+        return run_finely(run(read(sys.argv[1], int(sys.argv[2])), part, parts))
+    except EOFError:  # whoever started this is gone
+        return 1
 
 
 if __name__ == "__main__":
