A zone cut off from its backends no longer floods all with judgements

Profiled: 1.2 ms for each look at all claims, at every datagram; 26 datagrams a second an agent against 4.5.

Cause: each cut-off agent finds its backends ill one by one and has condemned the first fifth for everybody when it falls silent; its words then stood, and each of 67 witnesses was passed on by all. Now one that finds too many ill takes all of it back with one word; what six others say is neither said nor passed on by a seventh; what the claims come to is remembered until one changes or ends.

--- a/lilacsill/peers/fleet.py
+++ b/lilacsill/peers/fleet.py
@@ -11,7 +11,7 @@
 from .datagram import ROOM, Datagram, Gate, Outdated
 from .escrow import Escrow, Right
 from .gossip import Gossip
-from .judgements import Hearsay, Judgements
+from .judgements import ALL, Claim, Hearsay, Judgements
 from .membership import Change, Membership
 from .notes import Notes
 from .outbox import Outbox
@@ -135,7 +135,7 @@
             self.notes.note(now, "said", claim.cause, backend=self.judgements.name_of(claim.backend),
                             verdict=claim.verdict.name.lower())
             record = claim.record(now)
-            self.news.add(("judged", claim.witness, claim.backend), record)
+            self._spread(claim, record)
             if claim.round == 0:  # at once to as many as news goes to in the end: while it rides, others send there
                 for member in self._rng.sample(alive, min(self.news.sends, len(alive))):
                     self._outbox.send(member, record)
@@ -179,10 +179,16 @@
             if claim is not None:
                 self.notes.note(now, "heard", claim.cause, backend=self.judgements.name_of(claim.backend),
                                 witness=claim.witness, verdict=claim.verdict.name.lower())
-                self.news.add(("judged", claim.witness, claim.backend), claim.record(now))
+                if self.judgements.is_news(claim, now):
+                    self._spread(claim, claim.record(now))
         else:
             self.membership.take(sender, record, now)
 
+    def _spread(self, claim: Claim, record: Record) -> None:
+        if claim.backend == ALL:
+            self.news.drop_of("judged", claim.witness)
+        self.news.add(("judged", claim.witness, claim.backend), record)
+
     def _asked(self, sender: int, stamp: int, ask: Ask, now: int) -> None:
         escrow = self.escrow.get(ask.budget)
         if escrow is None or now < self._old_until:
--- a/lilacsill/peers/gossip.py
+++ b/lilacsill/peers/gossip.py
@@ -26,8 +26,10 @@
             del self._news[max(self._news, key=lambda k: self._news[k][0])]
         self._news[about] = (0, encode(record))
 
-    def drop(self, about: Hashable) -> None:
-        self._news.pop(about, None)
+    def drop_of(self, *beginning: Hashable) -> None:
+        """All that is about something that begins so."""
+        for about in [k for k in self._news if isinstance(k, tuple) and k[:len(beginning)] == beginning]:
+            del self._news[about]
 
     def take(self, room: int) -> list[bytes]:
         """What fits into so many bytes; it counts as sent."""
--- a/lilacsill/peers/judgements.py
+++ b/lilacsill/peers/judgements.py
@@ -5,6 +5,9 @@
 all backends never more than a share. A witness that condemns more than that share says something about its own links,
 and is not believed on any. What one has seen oneself since, and what discovery says, go first.
 
+Who finds too many ill learns of them one by one, and has told of the first few by then: it takes all of that back with
+one word. And what enough have said needs nobody more to say it, or a zone that loses its backends fills every datagram.
+
 A judgement is renewed by its witness alone, in numbered rounds, and each round is taken once: on slow links every hop
 makes news look younger than it is, and what was told from its age alone would never end.
 """
@@ -19,6 +22,8 @@
 HEARSAY = 0.2  # of the backends may be left out on hearsay, and condemned by one witness that is believed
 CLAIMS_MOST = 32  # of one witness: its newest; more are condemned by somebody who is cut off
 AGE_MOST_MS = 30_000  # older news is none
+ENOUGH = 2 * WITNESSES  # so many say it already: another one need not, nor is it passed on
+ALL = 0  # for the tag of a backend: whatever its witness has said so far
 
 
 def tag_of(backend: str) -> int:
@@ -64,6 +69,9 @@
         self._well_at: dict[int, int] = {}  # when it last answered this process
         self._claims: dict[int, dict[int, Claim]] = {}  # by witness and backend
         self._mine: dict[int, Claim] = {}
+        self._found: list[Hearsay] = []  # what it came to when it was last looked at,
+        self._found_until = 0  # which holds for so long, unless something changes; 0: it has
+        self._condemned: set[int] = set()  # backends of which anybody then said so
 
     def name_of(self, tag: int) -> str:
         """As the own list has it; of one that it does not name, the tag."""
@@ -81,24 +89,31 @@
         self._names = {tag: name for name, tag in self._tags.items()}
         self._well_at = {t: at for t, at in self._well_at.items() if t in self._names}
         self._mine = {t: c for t, c in self._mine.items() if t in self._names}
+        self._found_until = 0
 
     def answered(self, backend: str, now: int) -> None:
         tag = self._tags.get(backend)
         if tag is not None:
             self._well_at[tag] = now
+            if tag in self._condemned:
+                self._found_until = 0
 
     def saw(self, ill: set[str], now: int, lasts_us: int, life: int, cut_off: bool, begin: Cause) -> list[Claim]:
         """What this process finds ill by its own evidence, all of it at once; returns what is to be told. One that is
-        cut off, or finds too many ill, tells nothing: the cause is its own or shared."""
+        cut off, or finds too many ill, takes back what it told: the cause is its own or shared."""
         tags = {tag_of(name) for name in ill} & self._names.keys()
         told: list[Claim] = []
-        quiet = cut_off or len(tags) > self._most()
+        if cut_off or len(tags) > self._most():
+            if self._mine:
+                self._mine.clear()
+                told.append(Claim(ALL, Verdict.WELL, self.me, life, 0, now, now + lasts_us, begin))
+            return told
         for tag in tags:
             claim = self._mine.get(tag)
             if claim is None or claim.until - now < lasts_us // 2:
                 cause, round_ = (begin, 0) if claim is None else (claim.cause, claim.round + 1)
                 self._mine[tag] = claim = Claim(tag, Verdict.ILL, self.me, life, round_, now, now + lasts_us, cause)
-                if not quiet:
+                if self._saying(tag, now) < ENOUGH:
                     told.append(claim)
         for tag in [t for t in self._mine if t not in tags]:
             was = self._mine[tag]
@@ -125,18 +140,33 @@
         claim = Claim(j.backend, j.verdict, j.witness, j.life, j.round, now - j.age_ms * 1000,
                       now + min(j.left_ms, AGE_MOST_MS) * 1000, j.cause)
         said = self._claims.setdefault(j.witness, {})
-        before = said.get(j.backend)
+        before, all_ = said.get(j.backend), said.get(ALL)
         if before is not None and (j.life, j.cause[1], j.round) <= (before.life, before.cause[1], before.round):
             return None
+        if all_ is not None and (j.life, j.cause[1]) < (all_.life, all_.cause[1]):
+            return None
+        if j.backend == ALL:
+            said.clear()
+        self._found_until = 0
         said.pop(j.backend, None)
         said[j.backend] = claim
         if len(said) > CLAIMS_MOST:
             del said[next(iter(said))]
         return claim
 
+    def is_news(self, claim: Claim, now: int) -> bool:
+        """Whether a claim that was heard is worth passing on."""
+        return claim.verdict is Verdict.WELL or self._saying(claim.backend, now) <= ENOUGH
+
+    def _saying(self, tag: int, now: int) -> int:
+        """How many others call it ill."""
+        return sum(tag in said and said[tag].verdict is not Verdict.WELL and said[tag].until > now
+                   for said in self._claims.values())
+
     def forget(self, witness: int) -> None:
         """It is dead: what it has seen it cannot take back."""
         self._claims.pop(witness, None)
+        self._found_until = 0
 
     # What it comes to
 
@@ -145,6 +175,9 @@
 
     def verdicts(self, now: int) -> list[Hearsay]:
         """What counts now, most witnesses first; only backends that the own list names."""
+        if now < self._found_until:
+            return self._found
+        ends = [2**62]
         by_backend: dict[int, list[Claim]] = {}
         for witness, said in list(self._claims.items()):
             for tag in [t for t, c in said.items() if c.until <= now]:
@@ -152,6 +185,7 @@
             if not said:
                 del self._claims[witness]
                 continue
+            ends += [c.until for c in said.values()]
             ill = [c for c in said.values() if c.verdict is not Verdict.WELL and c.backend in self._names]
             if len(ill) > self._most():
                 continue
@@ -164,10 +198,12 @@
         for tag, claims in ordered[:2 * room]:  # several that lie by turns must not make most look doubtful either
             excluded = len(claims) >= WITNESSES and room > 0
             room -= excluded
-            ends = sorted((c.until for c in claims), reverse=True)
+            last = sorted((c.until for c in claims), reverse=True)
             found.append(Hearsay(self._names[tag], max(c.verdict for c in claims), excluded,
-                                 ends[WITNESSES - 1] if excluded else ends[0], max(c.seen_at for c in claims),
+                                 last[WITNESSES - 1] if excluded else last[0], max(c.seen_at for c in claims),
                                  tuple((c.witness, c.cause) for c in claims)))
+        self._found, self._found_until = found, min(ends)
+        self._condemned = {c.backend for said in self._claims.values() for c in said.values()}
         return found
 
     @property
--- a/tests/peers/test_judgements.py
+++ b/tests/peers/test_judgements.py
@@ -7,7 +7,16 @@
 from hypothesis import strategies as st
 
 from brasshead.interface import FleetChanged, HearsayChanged, Outcome, Send
-from lilacsill.peers.judgements import AGE_MOST_MS, CLAIMS_MOST, HEARSAY, WITNESSES, Judgements, tag_of
+from lilacsill.peers.judgements import (
+    AGE_MOST_MS,
+    ALL,
+    CLAIMS_MOST,
+    ENOUGH,
+    HEARSAY,
+    WITNESSES,
+    Judgements,
+    tag_of,
+)
 from lilacsill.peers.records import Judgement, Verdict
 from lilacsill.peers.siblings import CALM_US, Siblings
 from tests.helpers import MS, SECOND, Drive, only
@@ -91,6 +100,58 @@
         assert len(room().saw(ill, 1000, 4_000_000, 1, cut_off, (0, 1))) == told
 
 
+def test_one_that_finds_too_many_ill_takes_back_what_it_told_while_it_found_them() -> None:
+    """A zone cut off from its backends finds them one by one; each agent there had condemned the first few for all."""
+    teller, hearer = room(), room()
+    teller.me = 7
+    names, told = NAMES[:5], []
+    for n in range(1, len(names) + 1):  # four of twenty are believed, a fifth is not
+        for c in teller.saw(set(names[:n]), 1000 * n, 4_000_000, 1, False, (0, n)):
+            told.append(c.record(1000 * n))
+            hearer.heard(told[-1], 1000 * n)
+        assert len(hearer.verdicts(1000 * n)) == (n if n < len(names) else 0)
+    assert told[-1].backend == ALL and not teller.claims
+    for late in told[:-1]:  # on slow links the earlier words come after it
+        assert hearer.heard(late, 6000) is None
+    assert not hearer.verdicts(6000)
+    assert not teller.saw(set(names), 7000, 4_000_000, 1, False, (0, 7))  # said once
+    [again] = teller.saw({"s9"}, 8000, 4_000_000, 1, False, (0, 8))
+    assert hearer.heard(again.record(8000), 8000) is not None and hearer.verdicts(8000)[0].backend == "s9"
+
+
+def test_what_enough_say_nobody_more_says_or_passes_on() -> None:
+    j = room()
+    for witness in range(1, ENOUGH + 1):
+        c = j.heard(claim(witness, "s1", left_ms=1000), 1000)
+        assert c is not None and j.is_news(c, 1000)
+    assert not j.saw({"s1"}, 1000, 4_000_000, 1, False, (0, 1))
+    c = j.heard(claim(ENOUGH + 1, "s1"), 1000)
+    assert c is not None and not j.is_news(c, 1000)
+    well = j.heard(claim(1, "s1", 1, Verdict.WELL), 1000)
+    assert well is not None and j.is_news(well, 1000)
+    assert len(j.saw({"s1"}, 2_500_000, 4_000_000, 1, False, (0, 2))) == 1  # theirs have ended
+
+
+@given(st.lists(st.tuples(st.integers(0, 4), st.integers(1, 4), st.integers(0, 5), st.integers(0, 400_000)),
+                max_size=60))
+def test_what_is_remembered_of_the_verdicts_is_what_would_be_found(steps: list[tuple[int, int, int, int]]) -> None:
+    j, now = room(), 1000
+    for i, (what, witness, n, passes) in enumerate(steps):
+        now += passes
+        name = f"s{n}"
+        if what < 2:
+            j.heard(claim(witness, name, i, Verdict.ILL if what else Verdict.WELL, left_ms=500), now)
+        elif what == 2:
+            j.answered(name, now)
+        elif what == 3:
+            j.forget(witness)
+        else:
+            j.listed({**dict.fromkeys(NAMES[:1 + n], 1), "s0": i}, now)
+        remembered = j.verdicts(now)
+        j._found_until = 0
+        assert remembered == j.verdicts(now)
+
+
 def test_a_judgement_is_renewed_by_its_witness_before_it_ends() -> None:
     j = room()
     [first] = j.saw({"s1"}, 0, 4_000_000, 1, False, (0, 1))
