Counts ride in the room of probes; datagrams of their own only for new ones

Each period sent two datagrams of counts though probes and their answers had room for what is told again and again. Tests of counts and of several processes hold.

--- a/lilacsill/peers/fleet.py
+++ b/lilacsill/peers/fleet.py
@@ -19,7 +19,8 @@
 from .siblings import Siblings
 
 BUDGETS = ("cold", "probes", "retries")
-TALLIES = 2  # datagrams of counts a period,
+TALLIES = 2  # datagrams of counts a period, while there are new ones,
+ROW_LEAST = 16  # bytes of a row of counts
 HEALED_TALLIES, HEALED_PERIODS = 4, 6  # and to those that were found again, for so long
 VIEW_EVERY = 4  # periods
 FOLD_CALM_US = 10_000_000  # all members have lived for so long: earlier lives may be carried
@@ -49,7 +50,7 @@
         self.gate = Gate(s.me, s.fleet, s.agents, s.secrets)
         self.notes = Notes(s.me)
         self.news, self._tallies = Gossip(s.agents), Gossip(s.agents)
-        self._outbox = Outbox(self.news)
+        self._outbox = Outbox(self.news, self._tally)
         self.membership = Membership(
             s.me, s.agents, s.period_us, life, rng, self._outbox.send,
             lambda r: self.news.add(("member", r.member), r), self.notes.begin)
@@ -214,8 +215,10 @@
         back = [n for n in self._back if m.lives(n)][:HEALED_TALLIES]
         self._back = self._back[len(back):] if self._healed else []
         targets = back + self._rng.sample(alive, min(TALLIES, len(alive)))
-        for to in targets:
-            if rows := self._tally():
+        # Datagrams of their own only while there is something new: an idle agent pays by the wake-up, and probes and
+        # their answers have room for what is told again.
+        for to in targets if self._tallies else back:
+            if rows := self._tally(ROOM):
                 self._ready.append((to, self.gate.write(to, m.stamp, rows)))
         if alive and self._periods % VIEW_EVERY == 0:
             self._outbox.send(self._rng.choice(alive), m.view())
@@ -246,11 +249,11 @@
                 self._told[key] = row.values
                 self._tallies.add((row.agent, row.life, *key, False), row)
 
-    def _tally(self) -> list[bytes]:
+    def _tally(self, room: int) -> list[bytes]:
         """Rows that are new, then others in turn: who was cut off learns of all of them again."""
-        rows = self._tallies.take(ROOM)
-        room = ROOM - sum(map(len, rows))
-        for row in self.counts.some(8):
+        rows = self._tallies.take(room)
+        room -= sum(map(len, rows))
+        for row in self.counts.some(8) if room >= ROW_LEAST else ():
             encoded = encode(row)
             if len(encoded) <= room and encoded not in rows:
                 rows.append(encoded)
--- a/lilacsill/peers/outbox.py
+++ b/lilacsill/peers/outbox.py
@@ -1,7 +1,7 @@
-"""Packs records into datagrams: what is owed to a member first, and news in the room that is left."""
+"""Packs records into datagrams: what is owed to a member first, then news, then counts in the room that is left."""
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from .datagram import ROOM
 from .gossip import Gossip
@@ -11,8 +11,9 @@
 class Outbox:
     """Records by the member they are for, in the order in which they were queued."""
 
-    def __init__(self, news: Gossip) -> None:
-        self._news = news
+    def __init__(self, news: Gossip, counts: Callable[[int], list[bytes]]) -> None:
+        """`counts` gives rows for so many bytes."""
+        self._news, self._counts = news, counts
         self._owed: dict[int, list[bytes]] = {}
 
     def send(self, to: int, record: Record) -> None:
@@ -29,5 +30,6 @@
                 fits.append(owed.pop(0))
             if not owed:
                 del self._owed[to]
-                fits += self._news.take(room)
+                news = self._news.take(room)
+                fits += news + self._counts(room - sum(map(len, news)))
             yield to, fits
