--- a/brasshead/interface.py
+++ b/brasshead/interface.py
@@ -317,8 +317,23 @@
     until: int  # it holds no longer than this
 
 
+@dataclass(slots=True, frozen=True)
+class PaceKnown:
+    """What answers took in an earlier life of this balancer. It counts while none has come in this one, and then as so
+    many of them."""
+
+    pace_us: float  # of a warm backend, for each unit of load; 0: none is known
+    typical_us: float  # latency of answers
+    answers: int
+
+    def __post_init__(self) -> None:
+        _need(self.pace_us >= 0 and self.typical_us >= 0, "pace_us, typical_us", "must be 0 or more")
+        _need(self.answers >= 0, "answers", "must be 0 or more")
+
+
 Event = (BackendsChanged | TenantChanged | MaintenanceChanged | RequestArrived | StreamStarted | Uploading
-         | AttemptEnded | ClientGone | TimerFired | ProbeEnded | PeerMessage | FleetChanged | HearsayChanged)
+         | AttemptEnded | ClientGone | TimerFired | ProbeEnded | PeerMessage | FleetChanged | HearsayChanged
+         | PaceKnown)
 
 
 @dataclass(slots=True, frozen=True)
--- a/brasshead/logic/balancer.py
+++ b/brasshead/logic/balancer.py
@@ -41,7 +41,7 @@
             q.StreamStarted: self.attempts.streaming, q.Uploading: self.attempts.streaming,
             q.AttemptEnded: self.attempts.ended, q.ClientGone: self.attempts.gone,
             q.TimerFired: core.timer, q.ProbeEnded: asking.probed, q.PeerMessage: peers.told,
-            q.FleetChanged: self._fleet, q.HearsayChanged: self._hearsay,
+            q.FleetChanged: self._fleet, q.HearsayChanged: self._hearsay, q.PaceKnown: self.table.remember,
         }
 
     def handle(self, now: int, event: q.Event) -> list[q.Action]:
@@ -60,6 +60,10 @@
             now - s.heard_at if s.heard_at else -1, s.pace,
             self.sampler.health.admits(s, now, self.table.typical)) for s in self.members.ready]
 
+    def pace(self) -> q.PaceKnown:
+        """What a later life may begin with."""
+        return q.PaceKnown(self.table.pace, self.table.typical, self.table.answers)
+
     def _fleet(self, e: q.FleetChanged) -> None:
         self.core.siblings = self.attempts.start.siblings = e.siblings
         self.sampler.among(e.siblings)
--- a/brasshead/logic/load_table.py
+++ b/brasshead/logic/load_table.py
@@ -1,7 +1,7 @@
 """The load table: what each server holds, and how fast it works that off."""
 from __future__ import annotations
 
-from ..interface import AttemptEnded, Outcome, Settings
+from ..interface import AttemptEnded, Outcome, PaceKnown, Settings
 from .entities import SECOND, Server
 from .evidence import AT_ONCE, LEAVES_WORK
 
@@ -65,6 +65,11 @@
         if asked_at >= s.ghosts.since:
             s.ghosts.clear()
 
+    def remember(self, e: PaceKnown) -> None:
+        """Unknown starts make the first answers of cold servers look like the fleet's pace, and all is refused."""
+        if not self.answers and e.pace_us:
+            self.pace, self.typical, self.answers = e.pace_us, e.typical_us, e.answers
+
     def works(self, s: Server, service_ms: float) -> None:
         """Learn from a reported service time, waiting left out, how fast a server works."""
         if service_ms > 0:
--- a/emulator/herd.py
+++ b/emulator/herd.py
@@ -27,8 +27,8 @@
 
 
 def needs_rig(plan: Plan) -> bool:
-    return (plan.scenario.load.agents > LINE_MOST or plan.scenario.peers.enabled or bool(plan.link_faults)
-            or any(x.kind != "pause" for x in plan.agent_faults))
+    return (plan.scenario.load.agents > LINE_MOST or plan.scenario.peers.enabled or plan.scenario.recovery.enabled
+            or bool(plan.link_faults) or any(x.kind != "pause" for x in plan.agent_faults))
 
 
 class Line:
@@ -131,14 +131,14 @@
         host, port = listens[number]
         return by_line.document(s, number, fleet.discovery[number], fleet.known(number), f"{host}:{port}")
 
-    r = await stack.enter_async_context(rig(s.load.agents, folder, config, _operator(plan, record), plan.seed,
+    r = await stack.enter_async_context(rig(s.load.agents, folder, config, _operator(plan, folder, record), plan.seed,
                                             s.load.sockets))
     many = Many(r, listens)
     await many.start()
     return many
 
 
-def _operator(plan: Plan, record: Path | None) -> str:
+def _operator(plan: Plan, folder: Path, record: Path | None) -> str:
     p = plan.scenario.peers
     parts = []
     if p.enabled:
@@ -146,6 +146,9 @@
                      f"lease_ms = {p.lease_ms}\n")
         if record is not None:
             parts.append(f"records = {json.dumps(str((record / 'nNUMBER.jsonl').absolute()))}\n")
+    if plan.scenario.recovery.enabled:  # one folder for all, as of agents of one machine
+        parts.append(f'[recovery]\nfolder = {json.dumps(str(folder))}\nfleet = "{plan.scenario.name}"\n'
+                     f"every_ms = {plan.scenario.recovery.every_ms}\n")
     if record is not None:
         parts.append(by_line.recorder(record, "nNUMBER"))
     return "".join(parts)
--- a/emulator/models/scenario.py
+++ b/emulator/models/scenario.py
@@ -73,6 +73,13 @@
     lease_ms: Annotated[int, Meta(ge=200, le=60_000)] = 2000
 
 
+class Recovery(Section):
+    """Whether agents keep what they know on a disk that outlives them."""
+
+    enabled: bool = False
+    every_ms: Annotated[int, Meta(ge=500, le=60_000)] = 1000
+
+
 class Class(Section):
     """One class of requests."""
 
@@ -129,6 +136,7 @@
     fleet: Fleet = msgspec.field(default_factory=Fleet)
     load: Load = msgspec.field(default_factory=Load)
     peers: Peers = msgspec.field(default_factory=Peers)
+    recovery: Recovery = msgspec.field(default_factory=Recovery)
     classes: Annotated[list[Class], Meta(min_length=1)] = msgspec.field(name="class", default_factory=_classes)
     tenants: Annotated[list[Tenant], Meta(min_length=1)] = msgspec.field(name="tenant", default_factory=_tenants)
     troubles: list[Trouble] = msgspec.field(name="trouble", default_factory=list)
--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -32,6 +32,10 @@
         from .peers.cli import main as peers
 
         return peers(argv[1:])
+    if argv and argv[0] == "recovery":
+        from .recovery.cli import main as recovery
+
+        return recovery(argv[1:])
     if argv:
         # The platform's run line has no arguments, and an agent with 32 MB has no use for argparse.
         from .cli import parse
@@ -73,6 +77,10 @@
     if options.operator_path is not None:
         if config is not None:
             check_reserve(options.admission(), budget_for(config))
+        if options.operator is not None and options.operator.recovery.folder:
+            from .recovery.store import check_folder
+
+            check_folder(options.operator.recovery.folder, options.operator_path)
         checked.append(options.operator_path)
     return report_checked(checked)
 
--- a/lilacsill/admin/calls.py
+++ b/lilacsill/admin/calls.py
@@ -17,6 +17,7 @@
     RESUME = "resume"
     PEERS = "peers"
     NOTES = "notes"
+    RECOVERY = "recovery"
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,7 +37,8 @@
 
 
 PLAIN = {"ready": (Verb.READY, "GET"), "drain": (Verb.DRAIN, "POST"), "resume": (Verb.RESUME, "POST"),
-         "peers": (Verb.PEERS, "GET"), "notes": (Verb.NOTES, "GET")}
+         "peers": (Verb.PEERS, "GET"), "notes": (Verb.NOTES, "GET"),
+         "recovery": (Verb.RECOVERY, "GET")}
 OF_BACKEND = {"disable": Verb.DISABLE, "enable": Verb.ENABLE}
 
 
--- a/lilacsill/admin/file.py
+++ b/lilacsill/admin/file.py
@@ -26,6 +26,11 @@
         self.standing = Standing()  # as of then
         self._whole = False  # the file holds it
 
+    @property
+    def held(self) -> bool:
+        """Whether the file was there when it was looked at, and whole."""
+        return self._whole
+
     def look(self) -> bool:
         """Whether somebody else has changed it. What cannot be read is one line in the log and changes nothing."""
         if self._path is None:
--- a/lilacsill/admin/operations.py
+++ b/lilacsill/admin/operations.py
@@ -46,11 +46,19 @@
     def notes(self) -> Answer: ...
 
 
+class Recovery(Protocol):
+    """What the agent began with."""
+
+    def describe(self) -> Answer: ...
+
+
 class Operations:
     """Carries calls out, one at a time. The file comes first: what could not be kept is not done."""
 
-    def __init__(self, clients: Clients, backends: Backends, file: StandingFile, peers: Peers | None = None) -> None:
+    def __init__(self, clients: Clients, backends: Backends, file: StandingFile, peers: Peers | None = None,
+                 recovery: Recovery | None = None) -> None:
         self._clients, self._backends, self._file, self._peers = clients, backends, file, peers
+        self._recovery = recovery
         self._in_force = Standing()
         self._me = os.getpid()
         self._other = 0  # the process of the agent that was there before, or that has come since
@@ -60,11 +68,23 @@
         self._verbs: dict[Verb, Callable[[Call], Answer]] = {
             Verb.READY: self._ready, Verb.DRAIN: self._drain, Verb.RESUME: self._resume,
             Verb.DISABLE: self._disable, Verb.ENABLE: self._enable,
+            Verb.RECOVERY: lambda _: self._recovered().describe(),
             Verb.PEERS: lambda _: self._channel().describe(), Verb.NOTES: lambda _: self._channel().notes()}
 
-    def start(self) -> None:
-        """Take over what is in force, and follow it from now on."""
+    def start(self, out: frozenset[str] = frozenset()) -> None:
+        """Take over what is in force, and follow it from now on. `out`: backends that were out before a power loss;
+        they count where the file did not outlive it."""
         self._look()
+        if out and not self._file.held:
+            try:
+                self._file.update(lambda s: replace(s, out=s.out | out))
+            except OSError as e:
+                log.error("backends that were out of service cannot be kept out: %s", e)
+            self._enforce()
+
+    def out(self) -> frozenset[str]:
+        """Backends that are out of service."""
+        return self._in_force.out
 
     @property
     def beside(self) -> int:
@@ -163,6 +183,11 @@
             raise Refused(404, "agents tell each other nothing here: [peers] is off, or the settings forbid it")
         return self._peers
 
+    def _recovered(self) -> Recovery:
+        if self._recovery is None:
+            raise Refused(404, "nothing is kept between starts here: [recovery] names no folder")
+        return self._recovery
+
     def _known(self, backend: str) -> None:
         """One that left the list while it was out can still be let back."""
         if not self._backends.knows(backend) and backend not in self._file.standing.out:
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -18,7 +18,7 @@
 from .discovery.watch import Discovery
 from .http1.message import Headers, Message
 from .inbound.validation import DownstreamRequest
-from .observers import Observer
+from .observers import Both, Observer
 from .outbound.attempts import Backends, Exchange, Result, UpstreamRequest
 from .timers import Timer
 from .watermarks import Sink
@@ -50,7 +50,7 @@
         self._events: deque[q.Event] = deque()
         self._handling = False
         self._accepted = 0
-        self.observer: Observer | None = None  # `observers.Both` where there are two
+        self.observer: Observer | None = None
         self.listed = asyncio.Event()  # discovery has told of the backends
         self._carriers: dict[type, Callable[[Any], None]] = {
             q.Send: self._send, q.Refuse: self._refuse, q.Fail: self._fail, q.Cancel: self._cancel,
@@ -90,6 +90,19 @@
         self._backends.maintain(backend, out)
         self._post(q.MaintenanceChanged(backend, out))
 
+    def observe(self, observer: Observer) -> None:
+        """One more that hears what this agent sees."""
+        self.observer = observer if self.observer is None else Both(self.observer, observer)
+
+    def remember(self, pace_us: float, typical_us: float, answers: int) -> None:
+        """What answers took in an earlier life; 0 answers: nothing is known of that."""
+        if answers:
+            self._post(q.PaceKnown(pace_us, typical_us, answers))
+
+    def pace(self) -> q.PaceKnown:
+        """What answers take, for a later life."""
+        return self._balancer.pace()
+
     def beliefs(self) -> list[q.ServerBelief]:
         """What the module holds true of the backends now."""
         return self._balancer.beliefs(self._clock.now())
--- a/lilacsill/discovery/listing.py
+++ b/lilacsill/discovery/listing.py
@@ -10,6 +10,7 @@
 from ..clock import Clock
 
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
+PHASES = {state: phase for phase, state in STATES.items()}
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,6 +41,7 @@
         self._clock = clock
         self._zones = {name: i for i, name in enumerate(zones)}
         self._kinds = {name: i for i, name in enumerate(kinds)}
+        self._zone_names, self._kind_names = zones, kinds
 
     def parse(self, doc: Any) -> Listing:
         try:
@@ -55,3 +57,15 @@
             self._clock.from_unix_ms(int(m.get("up_since_ms") or 0)),
         )
         return Member(backend, parse_address(m["host_port"]), int(m.get("up_since_ms") or 0))
+
+    def word(self, m: Member) -> dict[str, Any]:
+        """One entry as discovery words it: what `parse` makes the same member of."""
+        b, host = m.backend, m.address.host
+        doc: dict[str, Any] = {
+            "id": str(b.id), "host_port": f"{f'[{host}]' if ':' in host else host}:{m.address.port}",
+            "phase": PHASES[b.state], "up_since_ms": m.started_unix_ms, "cell": b.cell, "size": b.capacity_hint}
+        if b.zone < len(self._zone_names):
+            doc["locality"] = self._zone_names[b.zone]
+        if b.kind < len(self._kind_names):
+            doc["flavor"] = self._kind_names[b.kind]
+        return doc
--- a/lilacsill/operator/sections.py
+++ b/lilacsill/operator/sections.py
@@ -73,6 +73,15 @@
             raise ValueError(f"lease_ms: {self.lease_ms} must be at least twice period_ms, {self.period_ms}")
 
 
+class RecoverySection(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """What is kept for the start after a power loss, where a disk lasts."""
+
+    folder: str = ""
+    fleet: Annotated[str, msgspec.Meta(max_length=64)] = ""
+    every_ms: Annotated[int, msgspec.Meta(ge=500, le=3_600_000)] = 5000
+    generations: Annotated[int, msgspec.Meta(ge=2, le=16)] = 3
+
+
 class HostedSection(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     """One service for many tenants; only `python -m lilacsill hosted` reads it."""
 
@@ -99,6 +108,7 @@
     admission: AdmissionSection = msgspec.field(default_factory=AdmissionSection)
     recorder: RecorderSection = msgspec.field(default_factory=RecorderSection)
     peers: PeersSection = msgspec.field(default_factory=PeersSection)
+    recovery: RecoverySection = msgspec.field(default_factory=RecoverySection)
     hosted: HostedSection = msgspec.field(default_factory=HostedSection)
 
 
@@ -107,5 +117,6 @@
     "admission": frozenset(AdmissionSection.__struct_fields__),
     "recorder": frozenset(),
     "peers": frozenset(),  # the file of secrets is read again by itself
+    "recovery": frozenset(),
     "hosted": frozenset(),
 }
--- a/lilacsill/peers/channel.py
+++ b/lilacsill/peers/channel.py
@@ -12,7 +12,6 @@
 from ..agent import Agent
 from ..clock import Clock
 from ..config import Config, ConfigError
-from ..observers import Both
 from ..operator.sections import PeersSection
 from .datagram import fleet_id
 from .feed import Feed
@@ -28,17 +27,18 @@
 class Channel:
     """Raises ConfigError where the configuration or the file of secrets cannot be used."""
 
-    def __init__(self, config: Config, section: PeersSection, clock: Clock, agent: Agent) -> None:
+    def __init__(self, config: Config, section: PeersSection, clock: Clock, agent: Agent, life: int = 0) -> None:
+        """`life`: one that is greater than all earlier ones, where they are remembered; 0: the wall clock's."""
         self._section, self._clock = section, clock
         listen = check(config)
         settings = Settings(
             me=config.settings.me, agents=len(config.peers), told=config.settings.siblings,
             fleet=fleet_id(section.fleet), secrets=secrets(section.secrets_file), period_us=section.period_ms * 1000,
             lease_us=section.lease_ms * 1000, seed=config.seed)
-        self.fleet = Fleet(settings, clock.now(), time.time_ns() // 1_000_000)
+        self.fleet = Fleet(settings, clock.now(), life or time.time_ns() // 1_000_000)
         self._feed = Feed(clock, self.fleet, config.settings.zone, config.settings.warm_up_us, agent.fleet_changed,
                           agent.beliefs)
-        agent.observer = self._feed if agent.observer is None else Both(agent.observer, self._feed)
+        agent.observe(self._feed)
         self._shell = Shell(clock, self.fleet, listen, config.peers, self._changed)
         self._feed.wake = self._shell.wake
         if section.records or section.metrics:
--- a/lilacsill/peers/cli.py
+++ b/lilacsill/peers/cli.py
@@ -4,17 +4,16 @@
 import argparse
 import json
 import sys
-import urllib.error
-import urllib.request
 from typing import Any
 
+from ..admin.ask import ask, why
+
 EXAMPLES = """examples:
   python -m lilacsill peers 127.0.0.1:12000
   python -m lilacsill peers 127.0.0.1:12000 --explain
   python -m lilacsill peers 127.0.0.1:12000 --json | jq '.members[] | select(.state != "alive")'
 
 Exit status: 0, or 1 if the door does not answer or agents tell each other nothing there, 2 for words that are off."""
-WAIT_S = 2.0
 
 
 def main(argv: list[str]) -> int:
@@ -26,33 +25,16 @@
     parser.add_argument("--explain", action="store_true", help="also what led to it, with the ids of the stories")
     arguments = parser.parse_args(argv)
     try:
-        told = _ask(arguments.door, "peers")
+        told = ask(arguments.door, "peers")
         if arguments.explain:
-            told |= _ask(arguments.door, "notes")
-    except urllib.error.HTTPError as e:
-        print(f"lilacsill: {arguments.door}: {_why(e)}", file=sys.stderr)
-        return 1
+            told |= ask(arguments.door, "notes")
     except (OSError, ValueError) as e:
-        print(f"lilacsill: {arguments.door}: {getattr(e, 'reason', None) or e}", file=sys.stderr)
+        print(f"lilacsill: {arguments.door}: {why(e)}", file=sys.stderr)
         return 1
     print(json.dumps(told, indent=2) if arguments.json else table(told))
     return 0
 
 
-def _ask(door: str, what: str) -> dict[str, Any]:
-    opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
-    with opener.open(f"http://{door}/-/{what}", timeout=WAIT_S) as answer:
-        told: dict[str, Any] = json.loads(answer.read())
-    return told
-
-
-def _why(e: urllib.error.HTTPError) -> str:
-    try:
-        return str(json.loads(e.read())["error"])
-    except (ValueError, KeyError, TypeError):
-        return f"status {e.code}"
-
-
 def table(told: dict[str, Any]) -> str:
     """For people."""
     sizes = told["siblings"]
--- /dev/null
+++ b/lilacsill/recovery/__init__.py
@@ -0,0 +1,1 @@
+"""What an agent still trusts after everything has lost power, and where it is kept."""
--- a/lilacsill/run.py
+++ b/lilacsill/run.py
@@ -35,6 +35,7 @@
     from .operator.sections import OperatorFile
     from .peers.channel import Channel
     from .recorder.ring import Recorder
+    from .recovery.room import Recovery
 
 log = logging.getLogger("lilacsill")
 
@@ -121,6 +122,9 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    recovery = _recovery(config, clock, options)
+    if recovery is not None:
+        config = recovery.config
     try:
         parts = assemble(config, clock, admission=options.admission())
     except ConfigError as e:
@@ -128,15 +132,19 @@
         return 2
     recorder = _record(config, clock, options, parts.agent)
     try:
-        peers = _peers(config, clock, options, parts.agent)
+        peers = _peers(config, clock, options, parts.agent, recovery)
     except (ConfigError, OSError) as e:
         print(f"lilacsill: {e}", file=sys.stderr)
         return 2
+    if recovery is not None:
+        parts.agent.observe(recovery)
+        parts.agent.remember(recovery.start.pace.pace_us, recovery.start.pace.typical_us, recovery.start.pace.answers)
     reload = Reload(parts, clock, options, budget_for(config), peers)
     loop.add_signal_handler(signal.SIGHUP, reload.begin)
     parts.agent.start(config.known)
     try:
-        operations = _operations(config, parts, peers)  # what operators have asked for holds from the first request on
+        # What operators have asked for holds from the first request on.
+        operations = _operations(config, parts, peers, recovery)
         door = _open_door(config, parts, operations)
         if operations is not None and operations.beside:
             await _learn(parts.agent, stop)
@@ -149,6 +157,8 @@
         operations.serves()
     if peers is not None:
         peers.start()
+    if recovery is not None:
+        recovery.follow(parts.agent.pace, operations.out if operations is not None else lambda: recovery.start.out)
     await stop.wait()
     if peers is not None:
         peers.stop()  # before the clients go: a process that takes over needs the address
@@ -161,6 +171,8 @@
         await parts.server.drain(DrainTimes(IDLE_S, SERVE_S, longest_s + FINISH_S))
     if recorder is not None:
         recorder.close()
+    if recovery is not None:
+        recovery.stop()
     if door is not None and operations is not None:
         door.stop()
         operations.stop()
@@ -177,7 +189,17 @@
         wait.cancel()
 
 
-def _peers(config: Config, clock: Clock, options: Options, agent: Agent) -> Channel | None:
+def _recovery(config: Config, clock: Clock, options: Options) -> Recovery | None:
+    """Where no folder is named, as on a platform without a disk that lasts, nothing of it is imported."""
+    if options.operator is None or not options.operator.recovery.folder:
+        return None
+    from .recovery.room import Recovery
+
+    return Recovery(config, options.operator.recovery, clock)
+
+
+def _peers(config: Config, clock: Clock, options: Options, agent: Agent, recovery: Recovery | None
+           ) -> Channel | None:
     """Where the platform forbids it, or nothing is set, nothing of it is imported. Raises ConfigError and OSError."""
     if options.operator is None or not options.operator.peers.enabled:
         return None
@@ -186,17 +208,17 @@
         return None
     from .peers.channel import Channel
 
-    return Channel(config, options.operator.peers, clock, agent)
+    return Channel(config, options.operator.peers, clock, agent, recovery.life if recovery is not None else 0)
 
 
-def _operations(config: Config, parts: Parts, peers: Channel | None) -> Operations | None:
+def _operations(config: Config, parts: Parts, peers: Channel | None, recovery: Recovery | None) -> Operations | None:
     if config.admin is None:
         return None
     from .admin.file import StandingFile
     from .admin.operations import Operations
 
-    operations = Operations(parts.server, parts.agent, StandingFile(os.environ.get("TMPDIR")), peers)
-    operations.start()
+    operations = Operations(parts.server, parts.agent, StandingFile(os.environ.get("TMPDIR")), peers, recovery)
+    operations.start(recovery.start.out if recovery is not None else frozenset())
     parts.limit.beside = lambda: operations.beside
     return operations
 
@@ -221,7 +243,7 @@
     section = options.operator.recorder
     recorder = Recorder(section.path, section.max_mb * 2**20, config.name, config.settings, clock, agent.beliefs,
                         section.beliefs_ms * 1000)
-    agent.observer = recorder
+    agent.observe(recorder)
     return recorder
 
 
--- /dev/null
+++ b/tests/recovery/test_decisions.py
@@ -0,0 +1,285 @@
+"""What is trusted after a start, the saved state's form, its generations, and the phases of a return."""
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from brasshead.interface import Backend, PaceKnown
+from brasshead.interface import State as Serving
+from lilacsill.address import Address
+from lilacsill.clock import Clock
+from lilacsill.config import ConfigError
+from lilacsill.discovery.listing import Listing, ListingParser, Member
+from lilacsill.recovery.phases import FEWEST, WINDOW_US, Phase, Phases
+from lilacsill.recovery.state import Pace, SavedMember, State, StateError, decode, encode
+from lilacsill.recovery.store import Store, check_folder
+from lilacsill.recovery.trust import (
+    LEAST,
+    PACE_ANSWERS,
+    PACE_HALF_S,
+    TABLE,
+    Kind,
+    Learned,
+    Now,
+    age_s,
+    begin,
+    listing_doc,
+    trust,
+)
+from tests.helpers import SECOND, Drive
+
+DAY_S = 86_400
+PARSER = ListingParser(Clock(), ("a", "b"), ("m",))
+ANY = st.characters(codec="utf-8")
+MEMBERS = st.lists(st.builds(
+    SavedMember, st.text(ANY, min_size=1, max_size=20), st.just("127.0.0.1:80"),
+    st.sampled_from(["SERVING", "DRAINING"]), st.integers(0, 2**50),
+    st.sampled_from([None, "a", "b"]), st.sampled_from([None, "m"]), st.integers(0, 9),
+    st.floats(0.1, 100)), max_size=5)
+
+
+def state(**changes: Any) -> State:
+    facts: dict[str, Any] = {
+        "fleet": "f", "agent": "n0", "saved_unix_ms": 10**12, "boot": "b1", "saved_us": 10**9, "life": 7,
+        "revision": 50,
+        "members": [SavedMember("s1", "127.0.0.1:80", "DRAINING", 5, "b", "m")], "pace": Pace(1e4, 1.3e4, 500),
+        "out": ["s9"]}
+    return State(**(facts | changes))
+
+
+def start_of(saved: State, now: Now, revision: int = 41) -> Any:
+    configured = Listing(revision, True, (Member(Backend("s1"), Address("127.0.0.1", 80)),))
+    return begin(configured, saved, PARSER.parse(listing_doc(saved)), now)
+
+
+# Form
+
+@given(MEMBERS, st.text(ANY, max_size=9), st.lists(st.text(ANY, max_size=9), max_size=3), st.integers(0, 2**50))
+def test_a_state_is_read_as_it_was_written(members: list[SavedMember], agent: str, out: list[str], at: int) -> None:
+    saved = state(members=members, agent=agent, out=out, saved_unix_ms=at)
+    assert decode(encode(saved), "f", agent) == saved
+
+
+def test_torn_at_any_byte_or_changed_in_one_it_is_not_believed() -> None:
+    data = encode(state())
+    for cut in range(len(data)):
+        with pytest.raises(StateError):
+            decode(data[:cut], "f", "n0")
+    for at in range(len(data)):
+        with pytest.raises(StateError):
+            decode(data[:at] + bytes([data[at] ^ 1]) + data[at + 1:], "f", "n0")
+
+
+def test_what_is_foreign_or_later_is_told_apart() -> None:
+    data = encode(state())
+    for bad, why in ((data.replace(b"state 1 ", b"state 2 ", 1), "version 2"), (b"\x7fELF" + data, "no saved state"),
+                     (b"", "no saved state")):
+        with pytest.raises(StateError, match=why):
+            decode(bad, "f", "n0")
+    for fleet, agent in (("g", "n0"), ("f", "n1")):
+        with pytest.raises(StateError, match="it is of agent 'n0' of fleet 'f'"):
+            decode(data, fleet, agent)
+
+
+@given(MEMBERS)
+def test_the_list_is_saved_in_words_that_mean_the_same_again(members: list[SavedMember]) -> None:
+    unique = list({m.id: m for m in members}.values())
+    told = PARSER.parse(listing_doc(state(members=unique)))
+    learned = Learned(PARSER.word)
+    learned.heard(told)
+    again = PARSER.parse(listing_doc(state(members=list(learned.members.values()))))
+    assert again == told
+
+
+def test_the_saved_list_follows_changes() -> None:
+    learned = Learned(PARSER.word)
+    at = Address("::1", 80)
+    learned.heard(Listing(1, True, (Member(Backend("x"), at), Member(Backend("y"), at))))
+    learned.heard(Listing(2, False, (Member(Backend("x", Serving.GONE), at),
+                                     Member(Backend("y", Serving.DRAINING), at))))
+    assert learned.revision == 2
+    assert [(m.id, m.phase, m.host_port) for m in learned.members.values()] == [("y", "DRAINING", "[::1]:80")]
+    learned.heard(Listing(3, True, ()))
+    assert not learned.members
+
+
+# Trust
+
+def test_every_kind_of_knowledge_has_its_row() -> None:
+    assert set(TABLE) == set(Kind)
+    assert not TABLE[Kind.LEASES][0] and TABLE[Kind.DRAINS][0]
+
+
+@given(st.floats(0, 1e8), st.floats(0, 1e8))
+def test_trust_falls_with_age_and_an_unknown_age_has_none(a: float, b: float) -> None:
+    low, high = sorted((a, b))
+    assert 1 >= trust(low, DAY_S) >= trust(high, DAY_S) >= 0
+    assert trust(None, DAY_S) == 0 and trust(0, DAY_S) == 1 and trust(DAY_S, DAY_S) == 0.5
+    assert trust(a, DAY_S) == 0 or trust(a, DAY_S) >= LEAST
+
+
+def test_the_age_is_the_machines_own_within_one_start_and_the_wall_clocks_else() -> None:
+    saved = state()
+    assert age_s(saved, Now(0, "b1", 10**9 + 3 * SECOND)) == 3  # the wall clock was set back: no matter
+    assert age_s(saved, Now(10**12 + 5000, "b2", 0)) == 5
+    assert age_s(saved, Now(10**12 - 1, "b2", 0)) is None
+    assert age_s(state(boot=""), Now(10**12 + 5000, "", 10**9)) == 5
+    assert age_s(saved, Now(10**12, "b1", 5)) is None
+
+
+def test_the_later_list_is_begun_with_and_a_drain_is_not_forgotten() -> None:
+    now = Now(10**12 + 1000, "b2", 0)
+    kept = start_of(state(), now)
+    assert kept.source == "saved" and kept.known.revision == 50
+    assert [m.backend.state for m in kept.known.members] == [Serving.DRAINING]
+    assert kept.out == {"s9"} and kept.life == 7
+    for revision in (50, 51):
+        configured = start_of(state(), now, revision)
+        assert configured.source == "configuration" and configured.known.revision == revision
+    old = start_of(state(), Now(10**12 + 30 * DAY_S * 1000, "b2", 0))
+    assert old.known.members[0].backend.state is Serving.DRAINING and not old.pace.answers
+
+
+@pytest.mark.parametrize(("age", "answers"), [
+    (0, PACE_ANSWERS), (PACE_HALF_S, PACE_ANSWERS // 2), (8 * PACE_HALF_S, 0)])
+def test_a_pace_weighs_less_the_older_it_is(age: float, answers: int) -> None:
+    start = start_of(state(), Now(10**12 + int(age * 1000), "b2", 0))
+    assert start.pace.answers == answers
+    assert start_of(state(pace=Pace(1e4, 1e4, 3)), Now(10**12, "b2", 0)).pace.answers == 3
+
+
+def test_a_pace_of_unknown_age_is_none_and_nothing_saved_is_the_configuration() -> None:
+    assert start_of(state(), Now(1, "b2", 0)).pace == Pace()
+    configured = Listing(1, True, ())
+    assert begin(configured, None, None, Now(1, "", 0)).known is configured
+
+
+# Generations
+
+def test_the_newest_that_is_whole_is_used(tmp_path: Path) -> None:
+    store = Store(str(tmp_path), "f", "n0", 3)
+    assert store.load().state is None
+    for revision in (1, 2, 3, 4):
+        store.save(state(revision=revision))
+    assert sorted(p.name for p in tmp_path.iterdir()) == ["n0.state", "n0.state.1", "n0.state.2"]
+    for expected in (4, 3, 2):
+        loaded = store.load()
+        assert loaded.state is not None and loaded.state.revision == expected
+        assert loaded.generation == 4 - expected
+        path = store.path(loaded.generation)
+        path.write_bytes(path.read_bytes()[:-7])
+    loaded = store.load()
+    assert loaded.state is None and len(loaded.tried) == 3
+
+
+def killed_at(step: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The process ends at that call of a save: nothing after it happens."""
+    calls = 0
+
+    def counted(real: Callable[..., Any]) -> Callable[..., Any]:
+        def call(*arguments: Any) -> Any:
+            nonlocal calls
+            calls += 1
+            if calls == step:
+                raise KeyboardInterrupt
+            return real(*arguments)
+        return call
+
+    monkeypatch.setattr(os, "fsync", counted(os.fsync))
+    monkeypatch.setattr(Path, "replace", counted(Path.replace))
+    monkeypatch.setattr(Path, "unlink", lambda *_: None)
+
+
+@pytest.mark.parametrize("step", range(1, 7))
+def test_killed_at_any_step_of_a_save_it_leaves_a_whole_one(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, step: int) -> None:
+    store = Store(str(tmp_path), "f", "n0", 3)
+    for revision in (1, 2, 3):
+        store.save(state(revision=revision))
+    with monkeypatch.context() as m:
+        killed_at(step, m)
+        try:
+            store.save(state(revision=4))
+        except KeyboardInterrupt:
+            pass
+        else:
+            assert step == 6  # five calls in all
+    found = store.load().state
+    assert found is not None and found.revision == (4 if step >= 5 else 3)
+    store.save(state(revision=5))
+    assert [(s := store.load().state) and s.revision] == [5]
+
+
+def test_a_disk_that_fails_changes_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    store = Store(str(tmp_path), "f", "n0", 2)
+    store.save(state(revision=1))
+
+    def full(_: int) -> None:
+        raise OSError(28, "No space left on device")
+
+    with monkeypatch.context() as m:
+        m.setattr(os, "fsync", full)
+        with pytest.raises(OSError, match="No space"):
+            store.save(state(revision=2))
+    assert [p.name for p in tmp_path.iterdir()] == ["n0.state"]
+    loaded = store.load().state
+    assert loaded is not None and loaded.revision == 1
+    with pytest.raises(ConfigError, match=r"op.toml: \[recovery\] folder: .* is no folder"):
+        check_folder(str(tmp_path / "none"), "op.toml")
+
+
+def test_agents_that_share_a_folder_keep_to_their_own(tmp_path: Path) -> None:
+    for name in ("a/b", "a%2fb", ""):
+        Store(str(tmp_path), "f", name, 2).save(state(agent=name))
+    for name in ("a/b", "a%2fb", ""):
+        loaded = Store(str(tmp_path), "f", name, 2).load().state
+        assert loaded is not None and loaded.agent == name
+    assert all(p.parent == tmp_path for p in tmp_path.rglob("*"))
+
+
+# Phases
+
+def test_a_return_is_told_by_work_and_not_by_time() -> None:
+    p, now = Phases(0), 0
+
+    def window(good: int, bad: int) -> Phase:
+        nonlocal now
+        for i in range(good + bad):
+            p.answered(i < good, now)
+        now += WINDOW_US
+        p.answered(True, now)  # the first of the next one closes it
+        return p.phase
+
+    for _ in range(100):
+        p.answered(False, now)
+        now += WINDOW_US
+    assert p.phase is Phase.WAITING
+    assert window(1, 20) is Phase.RETURNING
+    for _ in range(50):  # what is sent again holds it down
+        assert window(10, 10) is Phase.RETURNING
+    assert window(FEWEST - 3, 0) is Phase.RETURNING  # too few tell nothing
+    assert window(40, 1) is Phase.STEADY
+    assert window(12, 10) is Phase.STEADY
+    assert window(2, 20) is Phase.RETURNING
+    assert [phase for _, phase in p.changes] == [Phase.RETURNING, Phase.STEADY, Phase.RETURNING]
+
+
+# The module
+
+def test_a_pace_from_before_counts_until_the_first_answer_and_then_as_so_many() -> None:
+    d = Drive(servers=4)
+    d.event(PaceKnown(10_000, 12_000, 80))
+    assert d.balancer.pace() == PaceKnown(10_000, 12_000, 80)
+    d.serve(1)
+    told = d.balancer.pace()
+    assert told.answers == 81 and 9_000 < told.pace_us < 11_000
+    d.event(PaceKnown(99_000, 99_000, 80))  # too late: something was learned here
+    assert d.balancer.pace() == told
+    with pytest.raises(ValueError):
+        PaceKnown(-1, 0, 0)
