--- a/brasshead/interface.py
+++ b/brasshead/interface.py
@@ -319,8 +319,8 @@
 
 @dataclass(slots=True, frozen=True)
 class PaceKnown:
-    """What answers took in an earlier life of this balancer. It counts while none has come in this one, and then as so
-    many of them."""
+    """What answers took in an earlier life of this balancer. It counts while none has come in this one, and
+    then as so many of them."""
 
     pace_us: float  # of a warm backend, for each unit of load; 0: none is known
     typical_us: float  # latency of answers
