Backends that may be cold unseen do not teach that the fleet is slow; notes on recovery

With a pace from before, what the first backends back take for their crowd bounded the fleet's pace from below for seconds. Up to the longest warming-up it is taken for at most a quarter slower.

--- a/benchmarks/power_loss.py
+++ b/benchmarks/power_loss.py
@@ -104,7 +104,7 @@
         "worth": sum(served[begin:until]) / max(1.0, sum(allowed[begin:until])),
         "goodput": sum(served[b] for b in calm) / max(1.0, sum(allowed[b] for b in calm)) if calm else None,
         "rules": result.rules, "void": result.void, "refused": result.outcomes["refused"],
-        "late": result.outcomes["late"]}
+        "late": result.outcomes["late"], "stories": [f"{b.rule}: {b.what}: {b.story}" for b in result.breaches[:3]]}
 
 
 async def measure(size: Size, on: bool, seed: int, length: float) -> Row:
@@ -124,6 +124,8 @@
           f"{'saved state' if r['on'] else 'control':<12} seed {r['seed']}   back after {back:>7}   worth of the first "
           f"{FIRST_S:.0f} s {r['worth']:.3f}{goodput}   refused {r['refused']}, late {r['late']}"
           + (f"   BROKEN {broken}" if broken else "") + ("   VOID" if r["void"] else ""), flush=True)
+    for story in r["stories"]:
+        print(f"       {story}")
 
 
 def ratios(rows: list[Row], size: Size) -> Row:
--- a/brasshead/interface.py
+++ b/brasshead/interface.py
@@ -320,11 +320,13 @@
 @dataclass(slots=True, frozen=True)
 class PaceKnown:
     """What answers took in an earlier life of this balancer. It counts while none has come in this one, and
-    then as so many of them."""
+    then as so many of them. Up to `until` backends that nobody calls cold are taken to be so before the fleet
+    is taken to be slower."""
 
     pace_us: float  # of a warm backend, for each unit of load; 0: none is known
     typical_us: float  # latency of answers
     answers: int
+    until: int = 0
 
     def __post_init__(self) -> None:
         _need(self.pace_us >= 0 and self.typical_us >= 0, "pace_us, typical_us", "must be 0 or more")
--- a/brasshead/logic/load_table.py
+++ b/brasshead/logic/load_table.py
@@ -10,6 +10,7 @@
 PRIOR = 4  # a learned pace counts half after this many answers
 FORGET_US = 5 * SECOND  # a pace not confirmed for this long counts half: a server shunned must be seen again
 FADE, FADE_US = 10, SECOND  # what a bad end weighs halves in so many latencies, at most this
+SLOWER = 1.25  # than before may a fleet be, while it may yet be cold
 LATE = 5  # an answer later than this many typical ones tells of a stall, not of the fleet's pace
 
 
@@ -29,6 +30,7 @@
         self.pace = 0.0  # fleet: time per unit of load
         self.typical = 0.0  # fleet: latency of answers
         self.answers = self.stood_at = 0
+        self.known = PaceKnown(0.0, 0.0, 0)  # from before
 
     def look(self, servers: list[Server], now: int, stood_at: int) -> None:
         """What the entries come to in the mean. `stood_at`: waiting before that was the caller's own."""
@@ -68,7 +70,7 @@
     def remember(self, e: PaceKnown) -> None:
         """Unknown starts make the first answers of cold servers look like the fleet's pace, and all is refused."""
         if not self.answers and e.pace_us:
-            self.pace, self.typical, self.answers = e.pace_us, e.typical_us, e.answers
+            self.pace, self.typical, self.answers, self.known = e.pace_us, e.typical_us, e.answers, e
 
     def works(self, s: Server, service_ms: float) -> None:
         """Learn from a reported service time, waiting left out, how fast a server works."""
@@ -121,7 +123,9 @@
             latency = min(e.latency_us, LATE * self.typical) if gain <= GAIN else e.latency_us
             self.typical += gain * (latency - self.typical)
             # Of a warm one: a young fleet is not a slow one.
-            self.pace += gain * (s.warmth * latency / load_at_send - self.pace)
+            pace = s.warmth * latency / load_at_send
+            most = SLOWER * self.known.pace_us if now < self.known.until else pace
+            self.pace += gain * (min(pace, most) - self.pace)
         half_us = min(FADE_US, int(FADE * self.typical) or FADE_US)
         if e.outcome in LEAVES_WORK:
             s.ghosts.add(now, half_us)
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -94,10 +94,10 @@
         """One more that hears what this agent sees."""
         self.observer = observer if self.observer is None else Both(self.observer, observer)
 
-    def remember(self, pace_us: float, typical_us: float, answers: int) -> None:
+    def remember(self, pace: q.PaceKnown) -> None:
         """What answers took in an earlier life; 0 answers: nothing is known of that."""
-        if answers:
-            self._post(q.PaceKnown(pace_us, typical_us, answers))
+        if pace.answers:
+            self._post(pace)
 
     def pace(self) -> q.PaceKnown:
         """What answers take, for a later life."""
--- a/lilacsill/recovery/room.py
+++ b/lilacsill/recovery/room.py
@@ -62,6 +62,11 @@
         now = Now(time.time_ns() // 1_000_000, self._boot, self._clock.now())
         return begin(config.known, state, parsed, now)
 
+    def known_pace(self) -> q.PaceKnown:
+        """For the module: it bounds what backends that may be cold can teach for as long as they may be so."""
+        p = self.start.pace
+        return q.PaceKnown(p.pace_us, p.typical_us, p.answers, self._clock.now() + self.config.settings.warm_up_us)
+
     def follow(self, pace: Callable[[], q.PaceKnown], out: Callable[[], frozenset[str]]) -> None:
         """Where to ask for what only others know: the module's pace, and who is out by operators."""
         self._pace, self._out = pace, out
--- a/lilacsill/run.py
+++ b/lilacsill/run.py
@@ -138,7 +138,7 @@
         return 2
     if recovery is not None:
         parts.agent.observe(recovery)
-        parts.agent.remember(recovery.start.pace.pace_us, recovery.start.pace.typical_us, recovery.start.pace.answers)
+        parts.agent.remember(recovery.known_pace())
     reload = Reload(parts, clock, options, budget_for(config), peers)
     loop.add_signal_handler(signal.SIGHUP, reload.begin)
     parts.agent.start(config.known)
--- a/tests/recovery/test_decisions.py
+++ b/tests/recovery/test_decisions.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from brasshead.interface import Backend, PaceKnown
+from brasshead.interface import Backend, Outcome, PaceKnown, Send
 from brasshead.interface import State as Serving
 from lilacsill.address import Address
 from lilacsill.clock import Clock
@@ -32,7 +32,7 @@
     listing_doc,
     trust,
 )
-from tests.helpers import SECOND, Drive
+from tests.helpers import SECOND, Drive, only
 
 DAY_S = 86_400
 PARSER = ListingParser(Clock(), ("a", "b"), ("m",))
@@ -283,3 +283,16 @@
     assert d.balancer.pace() == told
     with pytest.raises(ValueError):
         PaceKnown(-1, 0, 0)
+
+
+def test_backends_that_may_be_cold_unseen_do_not_teach_that_the_fleet_is_slow() -> None:
+    """The first one back from a power loss takes ten times as long, and its list tells of its old start."""
+    paces = {}
+    for until in (0, 60 * SECOND):
+        d = Drive(servers=4)
+        d.event(PaceKnown(10_000, 12_000, 80, d.now + until))
+        for _ in range(60):
+            for s in only(d.request()[1], Send):
+                d.end(s, Outcome.OK, took_us=60_000)
+        paces[until] = d.balancer.pace().pace_us
+    assert paces[0] > 20_000 and paces[60 * SECOND] <= 12_500
