--- a/emulator/sockets/fleet.py
+++ b/emulator/sockets/fleet.py
@@ -12,6 +12,7 @@
 import socket
 import sys
 import time
+from collections import Counter
 from dataclasses import asdict
 from functools import partial
 from typing import Any
@@ -27,6 +28,7 @@
 from .memory import SharedMemory
 
 LAG_EVERY_S = 0.02
+TOLD_MOST = 3  # times that one and the same trouble is told
 
 
 Ports = dict[tuple[int, int, int], int]  # by machine, its address, and side of agents
@@ -70,7 +72,15 @@
 
 async def run(plan: Plan, part: int, parts: int) -> int:
     loop = asyncio.get_running_loop()
-    loop.set_exception_handler(lambda _, context: print(f"fleet: {context}", file=sys.stderr))
+    troubles: Counter[str] = Counter()
+
+    def trouble(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        what = str(context.get("message"))
+        troubles[what] += 1
+        if troubles[what] <= TOLD_MOST:  # a process without descriptors says so at every connect
+            print(f"fleet: {context}", file=sys.stderr)
+
+    loop.set_exception_handler(trouble)
     began = [int(loop.time() * 1e6) + 10**15]  # until the run begins all is long before it
 
     def now() -> int:
