--- a/brasshead/logic/load_table.py
+++ b/brasshead/logic/load_table.py
@@ -68,7 +68,7 @@
             s.ghosts.clear()
 
     def remember(self, e: PaceKnown) -> None:
-        """Unknown starts make the first answers of cold servers look like the fleet's pace, and all is refused."""
+        """Else cold servers that nobody calls so teach a pace that refuses all."""
         if not self.answers and e.pace_us:
             self.pace, self.typical, self.answers, self.known = e.pace_us, e.typical_us, e.answers, e
 
