The lab's agents and discovery know their world by a stage: its circle of imports is gone

Agent, discovery and world imported each other, two of them for types alone. Nothing in the lab behaves otherwise.

--- a/emulator/lab/agent.py
+++ b/emulator/lab/agent.py
@@ -5,14 +5,11 @@
 from dataclasses import dataclass, field
 from functools import partial
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from ..models.server import Job
+from .stage import MS, SECOND, Final, Server, Stage
 
-if TYPE_CHECKING:
-    from .world import Server, World
-
-MS, SECOND = 1_000, 1_000_000
 NET_US = 150
 SETTLE_US = 2 * MS  # a connection rests after an answer
 CONNECT_TIMEOUT_US, PROBE_TIMEOUT_US = 250 * MS, 50 * MS
@@ -20,16 +17,6 @@
             "timeout": "TIMEOUT", "cancelled": "CANCELLED", "not_sent": "NOT_SENT"}
 
 
-@dataclass(slots=True)
-class Final:
-    """What became of one try of a client."""
-
-    at: int  # when the try came
-    ended: int
-    status: str  # served, refused, failed, no answer
-    first: bool
-
-
 @dataclass(slots=True)
 class Try:
     """One try of a client."""
@@ -84,7 +71,7 @@
 class Agent:
     """One decision module with its connections, its requests in hand, and the clients before it."""
 
-    def __init__(self, world: World, number: int) -> None:
+    def __init__(self, world: Stage, number: int) -> None:
         self.world, self.number = world, number
         spec, q = world.spec, world.module.interface
         self.q = q
--- a/emulator/lab/discovery.py
+++ b/emulator/lab/discovery.py
@@ -5,19 +5,15 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from .world import World
-
-SECOND = 1_000_000
+from .stage import SECOND, Turns
 
 
 @dataclass(slots=True)
 class Discovery:
     """`lines_per_s` 0: it answers at once, whoever asks."""
 
-    world: World
+    world: Turns
     lines_per_s: float = 0.0
     call_lines: int = 30  # what a call costs beside the entries that it brings
     timeout_us: int = SECOND
--- a/emulator/lab/fleet.py
+++ b/emulator/lab/fleet.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass, replace
 
 from .module import Module
-from .world import MS, SECOND, LabSpec, World
+from .stage import MS, SECOND, LabSpec
+from .world import World
 
 SERVERS = 60
 SPEC = LabSpec(servers=SERVERS, agents=40, rate=870.0, work_us=36 * MS, quotas=(819.0, 385.0), first_tenant=0.68,
--- a/emulator/lab/scripts.py
+++ b/emulator/lab/scripts.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, replace
 
 from .module import Module
-from .world import MS, SECOND, LabSpec, World
+from .stage import MS, SECOND, LabSpec
+from .world import World
 
 
 @dataclass(frozen=True)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,8 @@
 from emulator.lab.discovery import Discovery
 from emulator.lab.fleet import FLEETS, Counts, play
 from emulator.lab.module import here
-from emulator.lab.world import SECOND, LabSpec, World
+from emulator.lab.stage import SECOND, LabSpec
+from emulator.lab.world import World
 
 
 @cache
