A process that condemns every backend is a test; it is believed in none

It speaks for three members in whose places nobody runs, as witnesses enough for any bound. Without the check of how many one witness condemns the test fails.

--- a/tests/peers/test_processes.py
+++ b/tests/peers/test_processes.py
@@ -3,13 +3,18 @@
 
 import asyncio
 import signal
+import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
 
 from emulator.processes.rig import RigError
+from lilacsill.peers.datagram import Gate, fleet_id
+from lilacsill.peers.judgements import tag_of
+from lilacsill.peers.records import LIFE_SHIFT, Judgement, Verdict, encode
 from tests.loopback import Running, config_doc
 
 from .fleets import OPERATOR, Told, ask, burst, fleet, met, states, until
@@ -260,3 +265,45 @@
                 await r.start(0)
 
     asyncio.run(run())
+
+
+def test_a_process_that_condemns_every_backend_is_believed_in_none(tmp_path: Path) -> None:
+    """It speaks for three members in whose places nobody runs, so that there are witnesses enough for any bound."""
+    async def run() -> None:
+        async with fleet(6, tmp_path, backends=5, begin=False) as r:
+            await asyncio.gather(*(r.start(n) for n in range(3)))
+            life, sockets = time.time_ns() // 1_000_000, list[socket.socket]()
+            gates: dict[int, Gate] = {}
+            for n in (3, 4, 5):
+                host, _, port = r.addresses["listens"][n].rpartition(":")
+                sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                sock.bind((host, int(port)))
+                sockets.append(sock)
+                gates[n] = Gate(n, fleet_id("test"), 6, ())
+            said = 0
+
+            def lie() -> None:
+                nonlocal said
+                said += 1
+                for n, sock in zip((3, 4, 5), sockets, strict=True):
+                    for backend in range(5):
+                        j = Judgement(tag_of(f"s{backend}"), Verdict.ILL, n, life, said, 0, 4000, (n, 1 + said))
+                        for hearer, peer in enumerate(r.addresses["peers"][:3]):
+                            to, _, port = peer.rpartition(":")
+                            sock.sendto(gates[n].write(hearer, life << LIFE_SHIFT, [encode(j)]), (to, int(port)))
+
+            try:
+                for _ in range(5):
+                    lie()
+                    for n in range(3):
+                        heard = await until(r, n, lambda t: any(
+                            x["kind"] == "heard" for x in t["notes"]), "notes")
+                        assert heard["notes"]
+                        told = await r.peers(n)
+                        assert not [j for j in told["judgements"] if j["excluded"]]
+                        assert await ask(r.agents[n], 5) == [200] * 5
+            finally:
+                for sock in sockets:
+                    sock.close()
+
+    asyncio.run(run())
