--- a/emulator/parts.py
+++ b/emulator/parts.py
@@ -14,7 +14,7 @@
 
 START_S = 30.0
 # What one process carries without being behind, with room; a machine has only so many cores. A request asks two servers
-# for their load, and agents open connections to many: 200 of them at 800 a second left one process 6 s behind.
+# for their load, and agents open connections to many: 200 at 800 a second are played by three processes with servers.
 CLIENT_RATE, SERVER_RATE, CONNECTIONS = 900, 400, 2_500
 CLIENTS_MOST, SERVERS_MOST = 3, 4
 
--- a/lilacsill/peers/cli.py
+++ b/lilacsill/peers/cli.py
@@ -1,12 +1,9 @@
 """`python -m lilacsill peers`: what one agent knows of the others, asked at its operators' door."""
 from __future__ import annotations
 
-import argparse
-import json
-import sys
 from typing import Any
 
-from ..admin.ask import ask, why
+from ..admin.ask import parser, show
 
 EXAMPLES = """examples:
   python -m lilacsill peers 127.0.0.1:12000
@@ -17,22 +14,10 @@
 
 
 def main(argv: list[str]) -> int:
-    parser = argparse.ArgumentParser(
-        prog="python -m lilacsill peers", epilog=EXAMPLES, formatter_class=argparse.RawDescriptionHelpFormatter,
-        description="What an agent knows of the others: members, budgets, judgements, counts.")
-    parser.add_argument("door", help="host:port of its operators' door (admin_addr)")
-    parser.add_argument("--json", action="store_true", help="all of it, as the door tells it")
-    parser.add_argument("--explain", action="store_true", help="also what led to it, with the ids of the stories")
-    arguments = parser.parse_args(argv)
-    try:
-        told = ask(arguments.door, "peers")
-        if arguments.explain:
-            told |= ask(arguments.door, "notes")
-    except (OSError, ValueError) as e:
-        print(f"lilacsill: {arguments.door}: {why(e)}", file=sys.stderr)
-        return 1
-    print(json.dumps(told, indent=2) if arguments.json else table(told))
-    return 0
+    words = parser("peers", "What an agent knows of the others: members, budgets, judgements, counts.", EXAMPLES)
+    words.add_argument("--explain", action="store_true", help="also what led to it, with the ids of the stories")
+    arguments = words.parse_args(argv)
+    return show(arguments, ["peers", "notes"] if arguments.explain else ["peers"], table)
 
 
 def table(told: dict[str, Any]) -> str:
--- a/lilacsill/recovery/cli.py
+++ b/lilacsill/recovery/cli.py
@@ -1,12 +1,9 @@
 """`python -m lilacsill recovery`: what one agent began with and why, asked at its operators' door."""
 from __future__ import annotations
 
-import argparse
-import json
-import sys
 from typing import Any
 
-from ..admin.ask import ask, why
+from ..admin.ask import parser, show
 
 EXAMPLES = """examples:
   python -m lilacsill recovery 127.0.0.1:12000
@@ -16,19 +13,9 @@
 
 
 def main(argv: list[str]) -> int:
-    parser = argparse.ArgumentParser(
-        prog="python -m lilacsill recovery", epilog=EXAMPLES, formatter_class=argparse.RawDescriptionHelpFormatter,
-        description="What an agent trusted of what it knew before its start, and how far its return is.")
-    parser.add_argument("door", help="host:port of its operators' door (admin_addr)")
-    parser.add_argument("--json", action="store_true", help="all of it, as the door tells it")
-    arguments = parser.parse_args(argv)
-    try:
-        told = ask(arguments.door, "recovery")
-    except (OSError, ValueError) as e:
-        print(f"lilacsill: {arguments.door}: {why(e)}", file=sys.stderr)
-        return 1
-    print(json.dumps(told, indent=2) if arguments.json else table(told))
-    return 0
+    words = parser("recovery", "What an agent trusted of what it knew before its start, and how far its return is.",
+                   EXAMPLES)
+    return show(words.parse_args(argv), ["recovery"], table)
 
 
 def table(told: dict[str, Any]) -> str:
--- a/lilacsill/recovery/state.py
+++ b/lilacsill/recovery/state.py
@@ -12,7 +12,7 @@
 from msgspec import Meta
 
 MAGIC, VERSION = b"lilacsill-state", 1
-MOST_BYTES = 8 << 20  # of a file: 20,000 backends take half of it
+MOST_BYTES = 8 << 20  # of a file: 20,000 backends take 2.9 MB
 MOST_MEMBERS = 20_000
 
 Unix = Annotated[int, Meta(ge=0, lt=2**53)]  # milliseconds
