--- /dev/null
+++ b/crier/process.py
@@ -0,0 +1,247 @@
+"""The process: the board, what it hears from porters and other criers, the configuration from the store, the door."""
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Callable
+from functools import partial
+
+import msgspec
+
+from guild.calls import Desk, Handler, Peers
+from guild.control import ControlServer, Respond
+from guild.messages import (
+    Ask,
+    Book,
+    Follow,
+    Gossip,
+    Heard,
+    Item,
+    Message,
+    News,
+    Patch,
+    Read,
+    Reply,
+    Status,
+    Told,
+)
+from guild.reactor import Reactor
+from guild.ring import log, ring
+from guild.settings import Settings
+from lilacsill.address import Address, parse_address
+from lilacsill.http1.message import Message as Request
+
+from .board import Board
+
+STORE = 1  # its port between agents, from the first
+FOLLOW_MS = 400
+GOSSIP_MS = 300
+TURN_US = 250_000
+AGAIN_US = 100_000
+LATE_US = 1_500_000  # heard itself within this counts for others
+SURE_US = 900_000  # the store said so within this
+CALL_US = 950_000
+STOOD_US = 400_000
+ANOTHER_US = 300_000  # time left in which another store may be asked
+
+
+class Process:
+    """One crier."""
+
+    def __init__(self, settings: Settings, reactor: Reactor) -> None:
+        """Raises OSError."""
+        self._settings, self._reactor = settings, reactor
+        self._life = time.time_ns() // 1_000_000
+        self._peers = Peers(reactor)
+        self._board = Board()
+        self._store = Address(settings.ip, settings.ports[0] + STORE)
+        self._items: dict[tuple[str, str], Item] = {}
+        self._book = 0
+        self._sure_at = -SURE_US
+        self._cores = {seed.host for seed in settings.seeds} | {settings.ip}
+        self._gossips: dict[str, tuple[int, int]] = {}  # other criers: life and version of their boards
+        self._waiting: list[tuple[Ask, Callable[[Message], None]]] = []
+        self._listening: list[tuple[Gossip, Callable[[Message], None]]] = []
+        self._turned_at = reactor.now()
+        handlers: dict[type, Handler] = {Ask: self._asked, Gossip: self._gossip, Status: self._status}
+        self._desk = Desk(reactor, Address(settings.ip, settings.ports[0]), handlers)
+        self._door = ControlServer(reactor, settings.listen["ControlPort"], self._called)
+        reactor.on_signal(signal.SIGTERM, self._terminated)
+        reactor.on_signal(signal.SIGHUP, lambda: None)
+        self._follow()
+        self._turn()
+
+    @property
+    def _sure(self) -> bool:
+        return self._reactor.now() - self._sure_at < SURE_US
+
+    # The configuration, from the store
+
+    def _follow(self) -> None:
+        self._peers.to(self._store).ask(
+            Follow(self._book, FOLLOW_MS, 0), FOLLOW_MS * 1000 + 500_000, self._followed)
+
+    def _followed(self, m: Message | None) -> None:
+        if not isinstance(m, Book) or not m.sure:
+            if isinstance(m, Book):
+                self._learn_cores(m.members)
+            self._reactor.after(AGAIN_US, self._follow)
+            return
+        self._sure_at = self._reactor.now()
+        self._learn_cores(m.members)
+        if m.seq > self._book:
+            self._book = m.seq
+            for item in m.items:
+                held = self._items.get((item.kind, item.name))
+                if held is None or held.version < item.version:
+                    self._items[item.kind, item.name] = item
+            self._tell()
+        self._follow()
+
+    def _learn_cores(self, members: list[str]) -> None:
+        self._cores = {parse_address(m).host for m in members} | {self._settings.ip}
+        self._gossips = {h: v for h, v in self._gossips.items() if h in self._cores}
+
+    # Porters
+
+    def _asked(self, m: Ask, reply: Callable[[Message], None]) -> None:
+        if self._board.heard(m.stall, self._reactor.now()):
+            self._tell()
+        if self._lacks(m) or m.wait_ms <= 0:
+            return reply(self._news(m))
+        self._waiting.append((m, reply))
+        self._reactor.after(m.wait_ms * 1000, self._waited, m)
+
+    def _lacks(self, m: Ask) -> bool:
+        return m.crier != self._life or m.board < self._board.version or (self._sure and m.book < self._book)
+
+    def _news(self, m: Ask) -> News:
+        stalls, gone = self._board.since(m.board if m.crier == self._life else 0)
+        items: list[Item] = []
+        book = m.book
+        if self._sure and m.book < self._book:
+            book = self._book
+            items = [i for i in self._items.values() if i.seq > m.book and (m.book or i.body is not None)]
+        criers = [f"{host}:{self._settings.ports[0]}" for host in sorted(self._cores)]
+        return News(self._life, self._board.version, stalls, gone, book, items,
+                    self._sure and book >= self._book, criers)
+
+    def _waited(self, m: Ask) -> None:
+        for waiting in [w for w in self._waiting if w[0] is m]:
+            self._waiting.remove(waiting)
+            waiting[1](self._news(m))
+
+    def _tell(self) -> None:
+        """Something changed: answer all who lack it."""
+        due = [w for w in self._waiting if self._lacks(w[0])]
+        if due:
+            self._waiting = [w for w in self._waiting if not self._lacks(w[0])]
+            for m, reply in due:
+                reply(self._news(m))
+        listeners, self._listening = self._listening, []
+        for g, reply in listeners:
+            if g.board < self._board.version:
+                reply(self._heard(g))
+            else:
+                self._listening.append((g, reply))
+
+    # Other criers
+
+    def _gossip(self, m: Gossip, reply: Callable[[Message], None]) -> None:
+        if m.crier != self._life or m.board < self._board.version:
+            return reply(self._heard(m))
+        self._listening.append((m, reply))
+        self._reactor.after(m.wait_ms * 1000, self._listened, m)
+
+    def _heard(self, m: Gossip) -> Heard:
+        stalls, _ = self._board.since(m.board if m.crier == self._life else 0)
+        return Heard(self._life, self._board.version, stalls,
+                     self._board.heard_of_late(self._reactor.now(), LATE_US))
+
+    def _listened(self, m: Gossip) -> None:
+        for listener in [x for x in self._listening if x[0] is m]:
+            self._listening.remove(listener)
+            listener[1](self._heard(m))
+
+    def _ask_other(self, host: str) -> None:
+        life, version = self._gossips.get(host, (0, 0))
+        self._gossips[host] = (life, version)
+        address = Address(host, self._settings.ports[0])
+        self._peers.to(address).ask(
+            Gossip(life, version, GOSSIP_MS), GOSSIP_MS * 1000 + 500_000, partial(self._told, host))
+
+    def _told(self, host: str, m: Message | None) -> None:
+        if host not in self._gossips:
+            return
+        if not isinstance(m, Heard):
+            self._reactor.after(GOSSIP_MS * 1000, self._ask_again, host)
+            return
+        now, news = self._reactor.now(), False
+        self._gossips[host] = (m.crier, m.board)
+        for stall in m.stalls:
+            news = self._board.heard(stall, now, itself=False) or news
+        self._board.alive(m.alive, now)
+        if news:
+            self._tell()
+        self._ask_other(host)
+
+    def _ask_again(self, host: str) -> None:
+        if host in self._gossips:
+            self._ask_other(host)
+
+    def _turn(self) -> None:
+        now = self._reactor.now()
+        if now - self._turned_at > TURN_US + STOOD_US or not self._sure:
+            self._board.silent_since = now  # cut off, or stood still: others' silence is perhaps its own
+        self._turned_at = now
+        self._reactor.after(TURN_US, self._turn)
+        for host in self._cores - self._gossips.keys() - {self._settings.ip}:
+            self._ask_other(host)
+        if self._board.look(now):
+            self._tell()
+
+    # The door
+
+    def _called(self, request: Request, respond: Respond) -> None:
+        path = request.target.partition(b"?")[0]
+        if path == b"/api/config" and request.method in (b"PATCH", b"GET"):
+            message: Message = Patch(bytes(request.body), 0) if request.method == b"PATCH" else Read(0)
+            self._ask_store(message, respond, [self._store.host, *sorted(self._cores - {self._store.host})])
+        elif path == b"/api/config":
+            respond(405, b'{"Message":"PATCH or GET"}')
+        elif path.startswith(b"/api/servers/"):
+            # The porter beside the backend takes its beats; here nobody can hold what a drain promises.
+            respond(503, b'{"Message":"beats go to the porter beside the backend"}')
+        else:
+            respond(404, b'{"Message":"no such call"}')
+
+    def _ask_store(self, message: Message, respond: Respond, hosts: list[str]) -> None:
+        until = self._reactor.now() + CALL_US
+
+        def ask(at: int) -> None:
+            left = until - self._reactor.now()
+            if at == len(hosts) or left < ANOTHER_US:
+                return respond(503, b'{"Message":"the store gives no answer"}')
+            self._peers.to(Address(hosts[at], self._store.port)).ask(message, left, lambda m: answered(at, m))
+
+        def answered(at: int, m: Message | None) -> None:
+            if isinstance(m, Reply):
+                return respond(m.status, m.body)
+            ask(at + 1)  # a call that is given twice is one call
+
+        ask(0)
+
+    def _terminated(self) -> None:
+        log.info("leaves")
+        self._door.leaving = True
+        self._door.listener.close()
+        self._reactor.after(1_000_000, self._reactor.stop)
+
+    def _status(self, m: Message, reply: Callable[[Message], None]) -> None:
+        now = self._reactor.now()
+        reply(Told(msgspec.json.encode({
+            "life": self._life, "board": self._board.version, "book": self._book, "sure": self._sure,
+            "cores": sorted(self._cores),
+            "stalls": [{"stall": e.stall, "heard_ms": (now - e.heard_at) // 1000}
+                       for e in self._board.entries.values()],
+            "log": ring.tail()})))
--- /dev/null
+++ b/guild/messages.py
@@ -0,0 +1,321 @@
+"""What the mesh's processes say to each other, in msgpack. One union; a frame holds one of them.
+
+Between porters an exchange has its connection alone; between all others questions carry a number (`guild.calls`).
+"""
+from __future__ import annotations
+
+import msgspec
+
+
+class Message(msgspec.Struct, array_like=True, tag=True, gc=False):
+    """Base of all."""
+
+
+# From a porter to the porter beside a backend, and back
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Offer(Message):
+    """A request for that porter's backend. Without `whole`, pieces of its body follow."""
+
+    server: str
+    service: str
+    route: str
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    whole: bool
+    length: int  # of the body as its head states it; -1: unknown
+    left_ms: int  # until the client or the route gives up
+    aim_ms: int  # until its full worth is lost; may be negative
+    rank: int
+    repeatable: bool
+    again: bool  # it may have arrived at a backend before
+
+
+class Piece(Message):
+    """More of a body, either way."""
+
+    data: bytes
+    last: bool
+
+
+class Withdraw(Message):
+    """Give it back if it has not been offered to the backend."""
+
+
+class Load(msgspec.Struct, array_like=True, gc=False):
+    """What the porter beside a backend sees of it: exact, at this moment."""
+
+    held: int  # running and waiting there
+    slots: int
+    pace_ms: float  # mean time of its answers, smoothed; 0: none yet
+    wait_ms: float  # before the next one would begin
+
+
+class Turned(Message):
+    """Not offered, and never will be: a promise."""
+
+    why: str  # full, life, draining, leaving, cold, withdrawn
+    load: Load
+
+
+class Answer(Message):
+    """The backend's. Without `whole`, pieces follow; a link that ends before the last one cuts it."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    whole: bool
+    length: int  # -1: unknown
+    not_run: bool  # the backend's own promise
+    load: Load
+
+
+class Broken(Message):
+    """It was offered, and no answer can be had: it may have run."""
+
+    why: str
+    load: Load
+
+
+# The board of stalls: who is there
+
+class Stall(msgspec.Struct, array_like=True, gc=False):
+    """One porter and the backend beside it, as it tells of itself."""
+
+    node: str
+    life: int  # of the porter; higher is later
+    count: int  # of the record in that life
+    host: str  # of porter and backend
+    port: int  # where the porter takes offers
+    zone: str
+    service: str
+    server: str  # empty: it has not heard of its backend
+    state: str  # ready, draining, gone, leaving (the porter), waiting (for its backend)
+    slots: int
+    cold_ms: int  # how much longer the backend is slow, when told
+
+
+class Item(msgspec.Struct, array_like=True, gc=False):
+    """One named item of the configuration. `body` is its JSON; None: it is dropped."""
+
+    kind: str  # route, service, limits
+    name: str
+    version: int
+    seq: int  # the chain's number of the call that set it
+    body: bytes | None
+
+
+class Ask(Message):
+    """A porter asks a crier for what it lacks. Its vector: one version for each source."""
+
+    stall: Stall
+    crier: int  # life of the crier, as last told
+    board: int  # version of that crier's board
+    book: int  # version of the configuration
+    wait_ms: int
+
+
+class News(Message):
+    """What it lacked."""
+
+    crier: int
+    board: int
+    stalls: list[Stall]
+    gone: list[str]  # nodes
+    book: int
+    items: list[Item]
+    sure: bool  # a majority of the chain stands behind this as of now
+    criers: list[str]  # addresses of control
+
+
+class Gossip(Message):
+    """A crier asks another for what it lacks of its board."""
+
+    crier: int
+    board: int
+    wait_ms: int
+
+
+class Heard(Message):
+    """The answer: changed stalls, and whom that crier has heard itself of late."""
+
+    crier: int
+    board: int
+    stalls: list[Stall]
+    alive: list[str]
+
+
+# The store
+
+class Member(msgspec.Struct, array_like=True, gc=False, frozen=True):
+    """A machine of the chain; the incarnation is that of its disk."""
+
+    address: str
+    incarnation: str
+
+
+class View(msgspec.Struct, array_like=True, gc=False, frozen=True):
+    """Who the chain is, head first. View n is agreed by a majority of view n - 1."""
+
+    number: int
+    members: tuple[Member, ...]
+
+
+class Hello(Message):
+    """Between machines of the store, several times a second."""
+
+    sender: Member
+    view: View
+    seq: int  # the last call that is on its disk
+    blocked: bool  # it has accepted a next view that it does not know to be agreed
+    leaving: bool
+    synced: bool
+    peers: list[str]
+
+
+class Greeted(Message):
+    """The answer; the same the other way."""
+
+    sender: Member
+    view: View
+    seq: int
+    blocked: bool
+    leaving: bool
+    synced: bool
+    peers: list[str]
+
+
+class Prepare(Message):
+    to: Member
+    number: int  # of the view to be agreed
+    ballot: tuple[int, str]
+
+
+class Promise(Message):
+    ok: bool
+    ballot: tuple[int, str]  # the highest promised
+    accepted_ballot: tuple[int, str] | None
+    accepted: View | None
+    view: View  # the one in force there
+
+
+class Accept(Message):
+    to: Member
+    ballot: tuple[int, str]
+    view: View
+
+
+class Accepted(Message):
+    ok: bool
+    ballot: tuple[int, str]
+    view: View
+
+
+class Agreed(Message):
+    """A view that stands."""
+
+    view: View
+
+
+class Noted(Message):
+    view: int
+
+
+class Lack(Message):
+    """Down the chain: how far are you?"""
+
+    view: int
+
+
+class Have(Message):
+    ok: bool
+    seq: int
+
+
+class Pass(Message):
+    """Down the chain: items, up to a number. `fill`: these are all that there are."""
+
+    view: int
+    seq: int
+    items: list[Item]
+    fill: bool
+
+
+class Passed(Message):
+    """Up the chain: all from here to the tail have it on disk."""
+
+    ok: bool
+    seq: int
+
+
+class Patch(Message):
+    """An operator's call."""
+
+    body: bytes
+    hops: int
+
+
+class Read(Message):
+    hops: int
+
+
+class Reply(Message):
+    """To either."""
+
+    status: int
+    body: bytes
+
+
+class Follow(Message):
+    """A crier asks its store for what it lacks of the configuration."""
+
+    seq: int
+    wait_ms: int
+    hops: int
+
+
+class Book(Message):
+    seq: int
+    items: list[Item]
+    sure: bool
+    members: list[str]  # addresses of control of all core machines known
+
+
+class Confirm(Message):
+    """Is this view in force for you?"""
+
+    view: int
+
+
+class Confirmed(Message):
+    ok: bool
+
+
+class Status(Message):
+    """What operators ask (`python -m weighhouse status`)."""
+
+
+class Told(Message):
+    text: bytes
+
+
+Any = (Offer | Piece | Withdraw | Turned | Answer | Broken | Ask | News | Gossip | Heard | Hello | Greeted | Prepare
+       | Promise | Accept | Accepted | Agreed | Noted | Lack | Have | Pass | Passed | Patch | Read | Reply | Follow
+       | Book | Confirm | Confirmed | Status | Told)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Any)
+BadMessage = msgspec.DecodeError
+
+
+def encode(message: Message) -> bytes:
+    return _encoder.encode(message)
+
+
+def decode(data: bytes | memoryview) -> Message:
+    """Raises BadMessage."""
+    return _decoder.decode(data)
--- a/lilacsill/http1/message.py
+++ b/lilacsill/http1/message.py
@@ -27,7 +27,7 @@
     """A request or an answer."""
 
     __slots__ = ("method", "target", "status", "fields", "repeated", "body", "received", "length", "until_close",
-                 "keep_alive", "version")
+                 "keep_alive", "version", "lines")
 
     def __init__(self) -> None:
         self.method = self.target = b""
@@ -40,6 +40,7 @@
         self.until_close = False  # it ends with its connection
         self.keep_alive = False
         self.version = "1.1"
+        self.lines: list[tuple[bytes, bytes]] | None = None  # all header lines as they came, where they are kept
 
     def take(self) -> bytes:
         """What of the body has come since the last time."""
@@ -60,10 +61,11 @@
     """
 
     def __init__(self, parser: type[HttpRequestParser] | type[HttpResponseParser], body_limit: int,
-                 until_close: bool = False) -> None:
-        """`until_close`: an answer may end with its connection; `close` then says that it has."""
+                 until_close: bool = False, keep_lines: bool = False) -> None:
+        """`until_close`: an answer may end with its connection; `close` then says that it has. `keep_lines`: header
+        lines are to be passed on as they came."""
         self._parser = parser(self)
-        self._body_limit, self._until_close = body_limit, until_close
+        self._body_limit, self._until_close, self._keep_lines = body_limit, until_close, keep_lines
         self._whole: list[Message] = []
         self.in_body = False
         self._head_bytes = self._unfinished = 0  # of a head: its lines so far, all that came without its end
@@ -107,6 +109,8 @@
 
     def on_message_begin(self) -> None:
         self.current, self.in_body = Message(), False
+        if self._keep_lines:
+            self.current.lines = []
         self._head_bytes = self._unfinished = 0
 
     def on_url(self, url: bytes) -> None:
@@ -121,7 +125,10 @@
         self._head_bytes += len(name) + len(value) + 4
         if self._head_bytes > HEAD_LIMIT:
             self._stop(400, "head too large")
-        name, value = name.lower(), value.strip(b" \t")  # llhttp leaves the white space behind a value (RFC 9110, 5.5)
+        value = value.strip(b" \t")  # llhttp leaves the white space behind a value (RFC 9110, 5.5)
+        if message.lines is not None:
+            message.lines.append((name, value))
+        name = name.lower()
         if name in message.fields:
             message.repeated.add(name)
         else:
--- a/lilacsill/net/connecting.py
+++ b/lilacsill/net/connecting.py
@@ -1,16 +1,18 @@
 """Opening a connection: one that the kernel brings up at once, as on loopback, is there in the same turn."""
 from __future__ import annotations
 
-import asyncio
 import errno
 import os
 import socket
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from ..address import Address
-from ..clock import Clock
 from ..timers import Timer
+from .reactor import Deadlines, running
+
+if TYPE_CHECKING:
+    import asyncio
 
 
 def new_socket(family: int) -> socket.socket:
@@ -24,11 +26,11 @@
     """One attempt to connect. After `begin`, either `opened` gets the socket or `failed` the reason, once; both may
     come before `begin` returns."""
 
-    def __init__(self, clock: Clock, address: Address, timeout_s: float, opened: Callable[[socket.socket], None],
+    def __init__(self, clock: Deadlines, address: Address, timeout_s: float, opened: Callable[[socket.socket], None],
                  failed: Callable[[OSError], None]) -> None:
         self._clock, self._address, self._timeout_s = clock, address, timeout_s
         self._opened, self._failed = opened, failed
-        self._loop = asyncio.get_running_loop()
+        self._loop = running()
         self._sock: socket.socket | None = None
         self._waits = False  # for the socket to become writable
         self._timer: Timer | None = None
@@ -41,7 +43,8 @@
             int(self._timeout_s * 1e6), self._fail, TimeoutError(errno.ETIMEDOUT, "timed out"))
         family = family_of(host)
         if family is None:
-            self._lookup = self._loop.create_task(self._look_up(host, port))
+            import asyncio  # the mesh's processes know addresses only, and do without
+            self._lookup = asyncio.get_running_loop().create_task(self._look_up(host, port))
         else:
             self._connect(family, (host, port))
 
@@ -50,8 +53,9 @@
         self._fail(OSError(errno.ECANCELED, os.strerror(errno.ECANCELED)))
 
     async def _look_up(self, host: str, port: int) -> None:
+        import asyncio
         try:
-            found = await self._loop.getaddrinfo(host, port, type=socket.SOCK_STREAM)
+            found = await asyncio.get_running_loop().getaddrinfo(host, port, type=socket.SOCK_STREAM)
         except OSError as e:
             return self._fail(e)
         if not self._over:
@@ -122,8 +126,9 @@
     return None
 
 
-async def connected(clock: Clock, address: Address, timeout_s: float) -> socket.socket:
+async def connected(clock: Deadlines, address: Address, timeout_s: float) -> socket.socket:
     """Raises OSError, a time-out too."""
+    import asyncio
     answer: asyncio.Future[socket.socket] = asyncio.get_running_loop().create_future()
 
     def failed(e: OSError) -> None:
--- a/lilacsill/net/stream.py
+++ b/lilacsill/net/stream.py
@@ -6,11 +6,12 @@
 """
 from __future__ import annotations
 
-import asyncio
 import socket
 from collections.abc import Callable
 from typing import Protocol
 
+from .reactor import running
+
 READ = 256 * 1024  # bytes at once
 # One for all: what was read is handed on before the next read.
 _BUFFER = memoryview(bytearray(READ))
@@ -40,7 +41,7 @@
                  "read_limit", "reset")
 
     def __init__(self, sock: socket.socket, user: StreamUser) -> None:
-        self._loop = asyncio.get_running_loop()
+        self._loop = running()
         self._sock, self._fd, self._user = sock, sock.fileno(), user
         self._unsent = bytearray()
         self._half_closing = self._over = False
--- /dev/null
+++ b/porter/__main__.py
@@ -0,0 +1,15 @@
+"""`python -m porter`: the proxy of one machine, as the settings file tells."""
+from __future__ import annotations
+
+import sys
+
+from guild.start import start
+
+
+def main() -> int:
+    from .process import Process
+    return start("porter", Process)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/porter/carry.py
@@ -0,0 +1,292 @@
+"""The near end of a request's way: route, choice, offers, and the one final answer.
+
+A request that was turned round has arrived nowhere, and goes to the next choice at no cost. One that may have run is
+repeated only where the route allows it and the budget has room; else its client hears a failure that promises nothing.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+from guild.messages import Answer, Broken, Headers, Offer, Piece, Turned
+from guild.reactor import Reactor
+from lilacsill.address import Address
+from lilacsill.http1.message import Message as HttpMessage
+
+from .backend import passed_on
+from .budget import Budget
+from .far import PILE, Counter
+from .routes import Route, Routes
+from .table import Stand, Table
+from .ways import OwnWay, Way, Ways
+
+TURNS = 6  # offers that are turned round before a request is refused
+OWN = frozenset((b"calling-service", b"meant-server", b"time-left-ms", b"expect"))
+PATIENCE_US = 60_000_000  # of a client that does not tell
+BACK_PART = 0.25  # of the aim: a refused client comes back after so long
+LATE_US = 20_000  # a far porter's word that time is up is given so long
+LEAST_US = 2_000
+
+
+class Client(Protocol):
+    """Where the answer goes; called once with `answer`, or with `begin`, then `piece` until the last."""
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None: ...
+
+    def begin(self, status: int, headers: Headers, length: int, body: bytes, carry: Carry) -> int: ...
+
+    def piece(self, data: bytes, last: bool) -> int: ...
+
+    def cut(self) -> None:
+        """The rest will never come."""
+
+
+class Carrier:
+    """All requests that begin on this machine."""
+
+    def __init__(self, reactor: Reactor, routes: Routes, counter: Counter, node: str, service: str,
+                 bounds: tuple[float, int, float], rng: Random) -> None:
+        self.reactor, self.routes, self.counter, self.rng = reactor, routes, counter, rng
+        self.ways = Ways(reactor)
+        self.node, self.caller = node, service.encode()
+        self._bounds = bounds
+        self.tables: dict[str, Table] = {}
+        self._budgets: dict[str, Budget] = {}
+        self.porters = 1
+        self.sure: Callable[[], bool] = lambda: False
+        self.in_hand: set[Carry] = set()
+        self._attempts = 0
+
+    def table(self, service: str) -> Table:
+        table = self.tables.get(service)
+        if table is None:
+            table = self.tables[service] = Table(self.rng)
+        return table
+
+    def budget(self, service: str) -> Budget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = Budget(*self._bounds)
+        return budget
+
+    def attempt(self) -> int:
+        self._attempts += 1
+        return self._attempts
+
+    def arrived(self, request: HttpMessage, client: Client) -> Carry | None:
+        """None: it has its answer."""
+        host = request.fields.get(b"host", b"").lower()
+        host = host.partition(b":")[0]
+        target = request.target
+        route = self.routes.match(host, target.partition(b"?")[0])
+        if route is None:
+            # Only who knows the configuration as it stands may say that there is none.
+            if self.sure():
+                client.answer(404, [], b"no route\n")
+            else:
+                client.answer(503, [(b"Retry-After", b"0.2")], b"the configuration is not known\n")
+            return None
+        carry = Carry(self, request, route, client)
+        self.in_hand.add(carry)
+        carry.begin()
+        return carry
+
+
+class Carry:
+    """One request."""
+
+    def __init__(self, carrier: Carrier, request: HttpMessage, route: Route, client: Client) -> None:
+        self._carrier, self._request, self._route, self._client = carrier, request, route, client
+        self._service = route.service(carrier.rng)
+        self._table = carrier.table(self._service)
+        now = carrier.reactor.now()
+        told = request.fields.get(b"time-left-ms", b"")
+        patience_us = int(told) * 1000 if told.isdigit() and len(told) < 10 else PATIENCE_US
+        self._began = now
+        self._until = now + min(patience_us, route.timeout_us)
+        self._aim_at = now + route.aim_us
+        self._headers = [line for line in passed_on(request) if line[0].lower() not in OWN]
+        self._headers.append((b"Calling-Service", carrier.caller))
+        self._body = bytes(request.body)
+        self._arrivals = self._turned = 0
+        self._tried: list[Stand] = []
+        self._stand: Stand | None = None
+        self._number = 0
+        self._way: Way | None = None
+        self._streaming = False
+        self.over = False
+        self._timer = carrier.reactor.after(max(0, self._until - now) + LATE_US, self._late)
+
+    def begin(self) -> None:
+        self._carrier.budget(self._service).asked(self._carrier.reactor.now())
+        self._next()
+
+    # Attempts
+
+    def _next(self) -> None:
+        carrier = self._carrier
+        now = carrier.reactor.now()
+        if self._until - now < LEAST_US:
+            return self._give_up()
+        stand = self._table.pick(now, self._tried) if self._turned < TURNS else None
+        if stand is None:
+            return self._give_up()
+        self._stand, self._number = stand, carrier.attempt()
+        self._table.sent(stand, self._number)
+        request, route = self._request, self._route
+        length = len(self._body) if request.length is not None or self._body else 0
+        if request.length is None and b"transfer-encoding" in request.fields:
+            length = -1
+        offer = Offer(
+            stand.stall.server, self._service, route.name, request.method, request.target, self._headers, self._body,
+            True, length, (self._until - now) // 1000, (self._aim_at - now) // 1000, route.rank, route.repeatable,
+            self._arrivals > 0)
+        if stand.stall.node == carrier.node:
+            self._way = OwnWay(carrier.reactor, carrier.counter, offer, self)
+        else:
+            self._way = carrier.ways.to(Address(stand.stall.host, stand.stall.port), offer, self)
+
+    def _attempt_over(self, told: Turned | Answer | Broken | None) -> Stand:
+        stand, self._stand, self._way = self._stand, None, None
+        assert stand is not None
+        load = told.load if told is not None else None
+        self._table.ended(stand, self._number, load, self._carrier.reactor.now())
+        return stand
+
+    # What the ways tell
+
+    def told(self, message: Turned | Answer | Broken | Piece) -> None:
+        if self.over:
+            return
+        if isinstance(message, Turned):
+            stand = self._attempt_over(message)
+            self._tried.append(stand)
+            self._turned += 1
+            if message.why in ("life", "leaving", "unreachable"):
+                self._table.unreachable(stand, self._carrier.reactor.now())
+            self._next()
+        elif isinstance(message, Answer):
+            self._answered(message)
+        elif isinstance(message, Broken):
+            if self._streaming:
+                return self._cut()
+            self._tried.append(self._attempt_over(message))
+            self._repeat()
+        else:
+            if self._client.piece(message.data, message.last) > PILE and self._way is not None:
+                self._way.hold(True)
+            if message.last:
+                self._done()
+
+    def unreached(self) -> None:
+        if self.over:
+            return
+        stand = self._attempt_over(None)
+        self._table.unreachable(stand, self._carrier.reactor.now())
+        self._tried.append(stand)
+        self._turned += 1
+        self._next()
+
+    def severed(self) -> None:
+        if self.over:
+            return
+        if self._streaming:
+            return self._cut()
+        stand = self._attempt_over(None)
+        self._table.unreachable(stand, self._carrier.reactor.now())
+        self._tried.append(stand)
+        self._repeat()
+
+    def relieved(self) -> None:
+        pass
+
+    def client_relieved(self) -> None:
+        if self._way is not None:
+            self._way.hold(False)
+
+    def _answered(self, m: Answer) -> None:
+        if m.not_run:
+            # The backend's own promise: it goes elsewhere, though as an arrival it counts.
+            stand = self._attempt_over(m)
+            self._tried.append(stand)
+            self._arrivals += 1
+            if self._may_repeat():
+                return self._next()
+            return self._refuse()
+        if m.status >= 500 and self._route.repeatable:
+            self._tried.append(self._attempt_over(m))
+            self._arrivals += 1
+            if self._may_repeat():
+                return self._next()
+            self._finish(m.status, m.headers, m.body)
+            return
+        if m.whole:
+            self._attempt_over(m)
+            self._finish(m.status, m.headers, m.body)
+            return
+        way = self._way
+        self._attempt_over(m)
+        self._way, self._streaming = way, True
+        self._timer.cancel()
+        if self._client.begin(m.status, m.headers, m.length, m.body, self) > PILE and self._way is not None:
+            self._way.hold(True)
+
+    def _repeat(self) -> None:
+        """The attempt may have run."""
+        self._arrivals += 1
+        if self._route.repeatable and self._may_repeat():
+            return self._next()
+        if self._carrier.reactor.now() >= self._until:
+            return self._finish(504, [], b"no answer in time\n")
+        self._finish(502, [], b"the backend gave no answer\n")
+
+    def _may_repeat(self) -> bool:
+        now = self._carrier.reactor.now()
+        return (self._arrivals < self._route.tries and self._until - now > LEAST_US
+                and self._carrier.budget(self._service).spend(now, self._carrier.porters))
+
+    # The end
+
+    def _give_up(self) -> None:
+        """Nobody takes it now."""
+        self._refuse()  # true of a write, too: all that it arrived at have promised that it did not run
+
+    def _refuse(self) -> None:
+        aim_us = self._route.aim_us
+        back_s = BACK_PART * aim_us / 1e6 * (0.75 + 0.5 * self._carrier.rng.random())
+        self._finish(503, [(b"Retry-After", b"%.3f" % back_s)], b"refused\n")
+
+    def _late(self) -> None:
+        if self.over:
+            return
+        way, self._way = self._way, None
+        if self._stand is not None:
+            self._table.ended(self._stand, self._number, None, self._carrier.reactor.now())
+            self._stand = None
+        if way is not None:
+            way.cancel()
+        self._finish(504, [], b"no answer in time\n")
+
+    def _finish(self, status: int, headers: Headers, body: bytes) -> None:
+        self._done()
+        self._client.answer(status, headers, body)
+
+    def _cut(self) -> None:
+        self._done()
+        self._client.cut()
+
+    def _done(self) -> None:
+        self.over = True
+        self._timer.cancel()
+        self._carrier.in_hand.discard(self)
+
+    def client_gone(self) -> None:
+        """Nobody waits for it any more."""
+        if self.over:
+            return
+        self._done()
+        if self._stand is not None:
+            self._table.ended(self._stand, self._number, None, self._carrier.reactor.now())
+        if self._way is not None:
+            self._way.cancel()
--- /dev/null
+++ b/porter/far.py
@@ -0,0 +1,327 @@
+"""The far end of a request's way: offers from porters, the gate, the backend beside it.
+
+Whoever offers hears exactly one of: turned round (a promise: it has not run and never will), an answer of the backend,
+or broken (it may have run).
+"""
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+from guild.calls import Listener
+from guild.link import Link
+from guild.messages import Answer, Broken, Headers, Message, Offer, Piece, Turned, Withdraw
+from guild.reactor import Reactor
+from lilacsill.address import Address
+from lilacsill.http1.message import Message as HttpMessage
+from lilacsill.http1.message import chunk
+
+from .backend import BackendConnection, Pool, passed_on
+from .gate import Gate, Ticket
+from .life import Life
+
+PILE = 256 * 1024  # not taken by the next on the way: the one before is made to wait
+LOOK_US = 20_000
+ANSWER_MARGIN_US = 30_000  # a backend's own 504 is given this long to come
+
+
+class Sink(Protocol):
+    """Who offered."""
+
+    def tell(self, message: Message) -> int:
+        """Returns how many bytes it has not taken yet; if they are many it calls `relieved` of the carriage."""
+
+
+class Counter:
+    """The far end of one porter."""
+
+    def __init__(self, reactor: Reactor, life: Life, app: Address) -> None:
+        self._reactor, self.life = reactor, life
+        self.gate = Gate()
+        self.pool = Pool(reactor, app)
+        self.carried: set[Carriage] = set()
+        self._looking = False
+
+    def now(self) -> int:
+        return self._reactor.now()
+
+    def offer(self, offer: Offer, sink: Sink) -> Carriage | None:
+        """None: it was turned round, and the sink has been told."""
+        now = self.now()
+        why = self.life.turns(offer.server, now)
+        if why:
+            sink.tell(Turned(why, self.gate.load()))
+            return None
+        self.gate.slots = self.life.slots
+        carriage = Carriage(self, offer, sink)
+        why = self.gate.offer(carriage.ticket, now)
+        if why:
+            carriage.over = True
+            self.carried.discard(carriage)
+            sink.tell(Turned(why, self.gate.load()))
+            return None
+        if carriage.ticket.state == "waits" and not self._looking:
+            self._looking = True
+            self._reactor.after(LOOK_US, self._look)
+        return carriage
+
+    def _look(self) -> None:
+        self.gate.look(self.now())
+        self._looking = any(c.ticket.state == "waits" for c in self.carried)
+        if self._looking:
+            self._reactor.after(LOOK_US, self._look)
+
+    def after(self, us: int, call: Callable[[], None]) -> None:
+        self._reactor.after(us, call)
+
+
+class Carriage:
+    """One request between its sink and the backend."""
+
+    def __init__(self, counter: Counter, offer: Offer, sink: Sink) -> None:
+        self._counter, self._offer, self._sink = counter, offer, sink
+        now = counter.now()
+        self._until = now + offer.left_ms * 1000
+        # Later than this an answer would come after its aim; what has lost that already may wait a little.
+        expected = counter.gate.expected_us(offer.route)
+        aim_us = offer.aim_ms * 1000
+        until = now + (aim_us - expected if aim_us > 0 else offer.left_ms * 1000 - expected)
+        self.ticket = Ticket(offer.rank, until, offer.route, self._begin, self._turned)
+        self.attempt_id = next((v for n, v in offer.headers if n.lower() == b"attempt-id"), b"")
+        self.is_head = offer.method == b"HEAD"
+        self._connection: BackendConnection | None = None
+        self._pieces: list[Piece] = []  # of the body, before there is a connection
+        self._streaming = False
+        self.over = False
+        counter.carried.add(self)
+
+    # From the one who offered
+
+    def piece(self, piece: Piece) -> int:
+        """More of the body. Returns how much is not taken."""
+        if self.over:
+            return 0
+        if self._connection is None:
+            self._pieces.append(piece)
+            return sum(len(p.data) for p in self._pieces)
+        return self._send_piece(piece)
+
+    def _send_piece(self, piece: Piece) -> int:
+        connection = self._connection
+        if connection is None or not connection.open:
+            return 0
+        if self._offer.length < 0:
+            connection.send((chunk(piece.data) if piece.data else b"") + (chunk(b"") if piece.last else b""))
+        elif piece.data:
+            connection.send(piece.data)
+        return connection.unsent
+
+    def withdraw(self) -> None:
+        """Give it back if it has not begun."""
+        if self._counter.gate.withdraw(self.ticket):
+            self._end()
+            self._sink.tell(Turned("withdrawn", self._counter.gate.load()))
+
+    def cancel(self) -> None:
+        """Nobody waits for it any more."""
+        if self.over:
+            return
+        self._counter.gate.withdraw(self.ticket)
+        self._end(drop=True)
+
+    def hold(self, on: bool) -> None:
+        """The sink is slow."""
+        if self._connection is not None and self._connection.stream is not None:
+            if on:
+                self._connection.stream.pause()
+            else:
+                self._connection.stream.resume()
+
+    # From the gate
+
+    def _turned(self, why: str) -> None:
+        self._end()
+        self._sink.tell(Turned(why, self._counter.gate.load()))
+
+    def _begin(self) -> None:
+        why = self._counter.life.turns(self._offer.server, self._counter.now(), waiting=True)
+        if why:
+            # Not from inside the gate's own turn.
+            return self._counter.after(0, lambda: self._give_back(why))
+        self._counter.pool.take(self._connected, self._not_connected)
+
+    def _give_back(self, why: str) -> None:
+        if not self.over:
+            self._end()
+            self._sink.tell(Turned(why, self._counter.gate.load()))
+
+    def _not_connected(self, e: OSError) -> None:
+        self._give_back("unreachable")
+
+    def _connected(self, connection: BackendConnection) -> None:
+        counter, offer = self._counter, self._offer
+        now = counter.now()
+        left_us = self._until - now
+        why = counter.life.turns(offer.server, now, waiting=True)
+        if self.over or why or left_us < 1000:
+            counter.pool.release(connection)
+            return self._give_back(why or "late")
+        self._connection = connection
+        counter.after(left_us + ANSWER_MARGIN_US, self._late)
+        headers: Headers = [*offer.headers, (b"Time-Left-Ms", b"%d" % (left_us // 1000)),
+                            (b"Meant-Server", offer.server.encode())]
+        connection.begin(self, offer.method, offer.target, headers, offer.body, offer.length, offer.whole)
+        pieces, self._pieces = self._pieces, []
+        for piece in pieces:
+            self._send_piece(piece)
+
+    def _late(self) -> None:
+        if not self.over:
+            self._end(drop=True)
+            self._sink.tell(Broken("no answer in time", self._counter.gate.load()))
+
+    # From the backend
+
+    def on_answer(self, answer: HttpMessage) -> None:
+        if self.over:
+            return
+        if self._streaming:
+            self._end()
+            self._sink.tell(Piece(answer.take(), True))
+            return
+        not_run = b"not-run" in answer.fields
+        why = self._spoilt(answer)
+        self._connection = None
+        self._end(timed=not not_run and answer.status < 300)
+        if why:
+            self._sink.tell(Broken(why, self._counter.gate.load()))
+            return
+        body = answer.take()
+        self._sink.tell(Answer(answer.status, self._lines(answer), body, True, len(body), not_run,
+                               self._counter.gate.load()))
+
+    def on_part(self, answer: HttpMessage) -> None:
+        if self.over:
+            return
+        if not self._streaming:
+            why = self._spoilt(answer)
+            if why:
+                return self.on_lost(why)
+            self._streaming = True
+            message: Message = Answer(
+                answer.status, self._lines(answer), answer.take(), False,
+                -1 if answer.length is None else answer.length, False, self._counter.gate.load())
+        else:
+            message = Piece(answer.take(), False)
+        if self._sink.tell(message) > PILE:
+            self.hold(True)
+
+    def relieved(self) -> None:
+        self.hold(False)
+
+    def on_written(self) -> None:
+        pass
+
+    def on_lost(self, why: str) -> None:
+        if self.over:
+            return
+        self._end(drop=True)
+        self._sink.tell(Broken(why, self._counter.gate.load()))
+
+    @staticmethod
+    def _spoilt(answer: HttpMessage) -> str:
+        """Why a success is none."""
+        if answer.status >= 300:
+            return ""
+        if b"server-seal" not in answer.fields:
+            return "a success without its seal"
+        if b"content-encoding" in answer.fields:
+            return "a body that nobody asked for"
+        return ""
+
+    @staticmethod
+    def _lines(answer: HttpMessage) -> Headers:
+        return [line for line in passed_on(answer) if line[0].lower() != b"server-load"]
+
+    def _end(self, drop: bool = False, timed: bool = False) -> None:
+        if self.over:
+            return
+        self.over = True
+        self._counter.carried.discard(self)
+        connection, self._connection = self._connection, None
+        if drop and connection is not None:
+            connection.user = None
+            self._counter.pool.forget(connection)
+            connection.drop()
+        self._counter.gate.ended(self.ticket, self._counter.now(), timed)
+
+
+class LinkSink:
+    """One link from another porter; an exchange has it alone."""
+
+    def __init__(self, counter: Counter, sock: socket.socket, closed: Callable[[LinkSink], None]) -> None:
+        self._counter, self._closed = counter, closed
+        self._carriage: Carriage | None = None
+        self.link = Link(sock, self._message, self._ended)
+        self.link.on_flushed = self._flushed
+
+    @property
+    def idle(self) -> bool:
+        return self._carriage is None
+
+    def tell(self, message: Message) -> int:
+        if not isinstance(message, Answer | Piece) or (
+                message.whole if isinstance(message, Answer) else message.last):
+            self._carriage = None
+        if not self.link.open:
+            return 0
+        return self.link.send(message)
+
+    def _message(self, link: Link, number: int, message: Message) -> None:
+        if isinstance(message, Offer):
+            if self._carriage is not None:
+                return link.close()
+            self._carriage = self._counter.offer(message, self)
+            # It may have come to its end already.
+            if self._carriage is not None and self._carriage.over:
+                self._carriage = None
+        elif isinstance(message, Piece):
+            if self._carriage is not None and self._carriage.piece(message) > PILE:
+                link.stream.pause()
+                self._counter.after(5_000, self._resume)
+        elif isinstance(message, Withdraw):
+            if self._carriage is not None:
+                self._carriage.withdraw()
+        else:
+            link.close()
+
+    def _resume(self) -> None:
+        if self.link.open:
+            self.link.stream.resume()
+
+    def _flushed(self) -> None:
+        if self._carriage is not None:
+            self._carriage.relieved()
+
+    def _ended(self, link: Link) -> None:
+        carriage, self._carriage = self._carriage, None
+        if carriage is not None:
+            carriage.cancel()
+        self._closed(self)
+
+
+class FarDoor:
+    """Takes the links of other porters."""
+
+    def __init__(self, reactor: Reactor, address: Address, counter: Counter) -> None:
+        """Raises OSError."""
+        self._counter = counter
+        self.sinks: set[LinkSink] = set()
+        self.listener = Listener(reactor, address, self._accepted)
+
+    def _accepted(self, sock: socket.socket) -> None:
+        self.sinks.add(LinkSink(self._counter, sock, self.sinks.discard))
+
+    def close(self) -> None:
+        self.listener.close()
--- /dev/null
+++ b/porter/gate.py
@@ -0,0 +1,125 @@
+"""The gate before a backend: the one holder of its slots. No I/O; the clock from outside.
+
+All that the backend holds passes here, so the count is exact. What would wait too long for its aim is turned round at
+once, for the porter that sent it may find room elsewhere; what waits, waits by rank.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import heapify, heappop, heappush
+
+from guild.messages import Load
+
+GAIN = 0.1
+QUEUE_PART = 1.0  # of the slots may wait
+FIRST_MS = 100.0
+
+
+class Ticket:
+    """One request at the gate."""
+
+    __slots__ = ("rank", "until", "begin", "turn", "state", "route", "began_at", "number")
+
+    def __init__(self, rank: int, until: int, route: str, begin: Callable[[], None], turn: Callable[[str], None]
+                 ) -> None:
+        self.rank, self.until, self.route = rank, until, route  # until: later than that it need not begin
+        self.begin, self.turn = begin, turn
+        self.state = "new"  # waits, runs, over
+        self.began_at = self.number = 0
+
+
+class Gate:
+    """One backend's."""
+
+    def __init__(self) -> None:
+        self.slots = 1
+        self.running = 0
+        self._queue: list[tuple[int, int, Ticket]] = []
+        self._waiting = 0
+        self._numbers = 0
+        self.pace_ms = 0.0
+        self._paces: dict[str, float] = {}  # by route
+
+    def load(self) -> Load:
+        held = self.running + self._waiting
+        wait_ms = max(0, held + 1 - self.slots) * self.pace_ms / self.slots
+        return Load(held, self.slots, round(self.pace_ms, 1), round(wait_ms, 1))
+
+    def expected_us(self, route: str) -> int:
+        """How long the backend will take for such a request."""
+        return int(1000 * (self._paces.get(route) or self.pace_ms or FIRST_MS))
+
+    def offer(self, ticket: Ticket, now: int) -> str:
+        """Begins it, lets it wait, or says why not."""
+        if self.running < self.slots and not self._waiting:
+            self._run(ticket, now)
+            return ""
+        if self._waiting >= QUEUE_PART * self.slots:
+            return "full"
+        ahead = sum(1 for _, _, t in self._queue if t.state == "waits" and t.rank <= ticket.rank)
+        wait_us = (ahead + 1) * 1000 * (self.pace_ms or FIRST_MS) / self.slots
+        if now + wait_us > ticket.until:
+            return "full"
+        self._numbers += 1
+        ticket.state, ticket.number = "waits", self._numbers
+        self._waiting += 1
+        heappush(self._queue, (ticket.rank, ticket.number, ticket))
+        return ""
+
+    def _run(self, ticket: Ticket, now: int) -> None:
+        ticket.state, ticket.began_at = "runs", now
+        self.running += 1
+        ticket.begin()
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Whether it had not begun; then it never will."""
+        if ticket.state != "waits":
+            return False
+        ticket.state = "over"
+        self._waiting -= 1
+        return True
+
+    def ended(self, ticket: Ticket, now: int, timed: bool) -> None:
+        """The backend is rid of it. `timed`: by an answer of its own."""
+        if ticket.state != "runs":
+            return
+        ticket.state = "over"
+        self.running -= 1
+        if timed:
+            took = (now - ticket.began_at) / 1000
+            self.pace_ms += (GAIN if self.pace_ms else 1.0) * (took - self.pace_ms)
+            held = self._paces.get(ticket.route, 0.0)
+            self._paces[ticket.route] = held + (GAIN if held else 1.0) * (took - held)
+        self.next(now)
+
+    def next(self, now: int) -> None:
+        """Begin what waits, as far as there is room."""
+        while self._queue and self.running < self.slots:
+            ticket = heappop(self._queue)[2]
+            if ticket.state != "waits":
+                continue
+            self._waiting -= 1
+            if now > ticket.until:
+                ticket.state = "over"
+                ticket.turn("full")
+            else:
+                self._run(ticket, now)
+
+    def look(self, now: int) -> None:
+        """Turn round what has waited too long."""
+        late = [t for _, _, t in self._queue if t.state == "waits" and now > t.until]
+        self._queue = [q for q in self._queue if q[2].state == "waits" and now <= q[2].until]
+        heapify(self._queue)
+        for ticket in late:
+            self._waiting -= 1
+            ticket.state = "over"
+            ticket.turn("full")
+
+    def clear(self, why: str) -> None:
+        """The backend takes nothing more."""
+        queue, self._queue = self._queue, []
+        for _, _, ticket in queue:
+            if ticket.state == "waits":
+                self._waiting -= 1
+                ticket.state = "over"
+                ticket.turn(why)
--- /dev/null
+++ b/porter/process.py
@@ -0,0 +1,174 @@
+"""The process: listeners, the own backend's beats, readiness, and the way out."""
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from guild.control import ControlServer, Respond
+from guild.messages import Headers
+from guild.reactor import Reactor
+from guild.ring import log
+from guild.settings import Settings, SettingsError, load
+from lilacsill.address import Address
+from lilacsill.http1.message import Message as Request
+
+from .backend import BackendConnection
+from .carry import Carrier
+from .far import Counter, FarDoor
+from .inbound import Clients
+from .life import Life, beat_of
+from .news import NewsBoy
+from .routes import Routes
+
+LEAVE_LOOK_US = 50_000
+NOTICE_US = 2_600_000  # clients go elsewhere after two missed looks at readiness
+END_US = 500_000  # before the platform would end it
+PROBE_US = 400_000
+
+
+class Process:
+    """One porter."""
+
+    def __init__(self, settings: Settings, reactor: Reactor) -> None:
+        """Raises OSError, SettingsError."""
+        if settings.app is None:
+            raise SettingsError(f"{settings.path}: AppAddress: a porter stands beside a backend")
+        self._settings, self._reactor = settings, reactor
+        self._life = Life(settings.bound_us("DrainWithinMs", 2000))
+        self._counter = Counter(reactor, self._life, settings.app)
+        ratio, slack = settings.bounds.get("RetryRatio", 0.2), settings.bounds.get("RetrySlack", 0.0)
+        bounds = (ratio, settings.bound_us("RetryWindowS", 10_000), slack)
+        self._carrier = Carrier(reactor, Routes(), self._counter, settings.node, settings.service, bounds, Random())
+        self._news = NewsBoy(settings, reactor, self._carrier, self._life)
+        self._far = FarDoor(reactor, Address(settings.ip, settings.ports[0]), self._counter)
+        self._clients = Clients(reactor, settings.listen["Outgoing"], self._carrier)
+        self._control = ControlServer(reactor, settings.listen["ControlPort"], self._called)
+        self._ready = ControlServer(reactor, settings.listen["ReadyCheck"], self._asked_ready)
+        self._leaving_since = 0
+        self._probing = False
+        self._news.on_news = self._look_at_backend
+        reactor.on_signal(signal.SIGTERM, self._terminated)
+        reactor.on_signal(signal.SIGHUP, self._settings_changed)
+        self._news.start()
+
+    # The platform
+
+    def _asked_ready(self, request: Request, respond: Respond) -> None:
+        ready = self._news.sure() and not self._leaving_since
+        respond(200 if ready else 503, b"{}")
+
+    # The backend beside it
+
+    def _called(self, request: Request, respond: Respond) -> None:
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        server = path.removeprefix("/api/servers/")
+        if not server or server == path or "/" in server:
+            return respond(404, b'{"Message":"no such call"}')
+        if request.method == b"DELETE":
+            if self._life.left(server, self._reactor.now()):
+                self._counter.gate.clear("life")
+                self._news.changed()
+            return respond(200, b"{}")
+        if request.method != b"PUT":
+            return respond(405, b'{"Message":"PUT or DELETE"}')
+        try:
+            body = msgspec.json.decode(bytes(request.body))
+        except msgspec.DecodeError as e:
+            return respond(400, msgspec.json.encode({"Message": f"not JSON: {e}"}))
+        beat = beat_of(server, body)
+        if beat is None:
+            return respond(400, b'{"Message":"Details or Condition: not whole"}')
+        before = (self._life.server, self._life.state)
+        if self._life.beat(beat, self._reactor.now()):
+            if self._life.server != before[0]:
+                self._counter.pool.clear()
+            if self._life.state == "draining" and before[1] != "draining":
+                self._reactor.after(self._settings.bound_us("DrainWithinMs", 2000) // 2,
+                                    self._counter.gate.clear, "draining")
+            self._news.changed()
+        respond(200, b"{}")
+
+    def _look_at_backend(self) -> None:
+        """A porter that was started anew need not wait for a beat: the backend's health answer names its life."""
+        health = self._carrier.routes.health_path(self._settings.service)
+        held = self._news.stalls.get(self._settings.node)
+        if self._life.server or self._probing or health is None or held is None or not held.server:
+            return
+        self._probing = True
+        if held.state == "ready":
+            Probe(self._counter, health, self._probed)
+
+    def _probed(self, server: str, slots: int) -> None:
+        if server and self._life.answered(server, self._settings.service, slots):
+            log.info("the backend is %s", server)
+            self._news.changed()
+
+    # The way out
+
+    def _settings_changed(self) -> None:
+        """Seeds are for a start only, and all else stays as it is for the life of a process; a file that cannot be
+        used is told of."""
+        try:
+            load(self._settings.path)
+        except SettingsError as e:
+            log.warning("%s", e)
+
+    def _terminated(self) -> None:
+        if self._leaving_since:
+            return
+        log.info("leaves")
+        self._leaving_since = self._reactor.now()
+        self._news.leaving = self._clients.leaving = True
+        self._news.changed()
+        self._leave()
+
+    def _leave(self) -> None:
+        gone_us = self._reactor.now() - self._leaving_since
+        busy = bool(self._carrier.in_hand or self._counter.carried)
+        late = gone_us > self._settings.bound_us("GracePeriodS", 6000) - END_US
+        if late or (gone_us > NOTICE_US and not busy):
+            self._clients.listener.close()
+            self._far.close()
+            self._clients.close_idle()
+            self._reactor.after(LEAVE_LOOK_US, self._end)
+            return
+        self._reactor.after(LEAVE_LOOK_US, self._leave)
+
+    def _end(self) -> None:
+        late = self._reactor.now() - self._leaving_since > self._settings.bound_us("GracePeriodS", 6000) - END_US // 2
+        if late or not (self._carrier.in_hand or self._counter.carried):
+            return self._reactor.stop()
+        self._reactor.after(LEAVE_LOOK_US, self._end)
+
+
+class Probe:
+    """One look at the backend's health."""
+
+    def __init__(self, counter: Counter, path: bytes, done: Callable[[str, int], None]) -> None:
+        self._done, self.attempt_id, self.is_head = done, b"", False
+        self._path = path
+        self._pool = counter.pool
+        counter.pool.take(self._connected, lambda e: done("", 0))
+
+    def _connected(self, connection: BackendConnection) -> None:
+        headers: Headers = [(b"Host", b"backend")]
+        connection.begin(self, b"GET", self._path, headers, b"", 0, True)
+        self._connection = connection
+
+    def on_answer(self, answer: Request) -> None:
+        server = answer.header(b"answering-server") or ""
+        told = (answer.header(b"server-load") or "").split(",")
+        slots = int(told[2]) if len(told) == 3 and told[2].strip().isdigit() else 1
+        self._done(server if answer.status == 200 else "", slots)
+
+    def on_part(self, answer: Request) -> None:
+        answer.take()
+
+    def on_lost(self, why: str) -> None:
+        self._done("", 0)
+
+    def on_written(self) -> None:
+        pass
--- /dev/null
+++ b/porter/table.py
@@ -0,0 +1,116 @@
+"""The choice: two uniform samples with replacement of the ready backends, the lower band, cutoffs from the own table.
+
+For each backend the table holds the last figure that the porter beside it told, and the own attempts that were sent
+since then and are still open. It is ranked by load over slots, times the backend's own time for an answer: backends of
+one service work at different speeds. No I/O; the clock from outside.
+"""
+from __future__ import annotations
+
+from random import Random
+
+from brasshead.logic.bands import cutoffs, lower_band
+from guild.messages import Load, Stall
+
+FRESH_US = 500_000  # a figure this young counts in full; older ones fade to the mean of the others
+OUT_US, OUT_MOST_US = 300_000, 4_000_000  # one that could not be reached is left out, twice as long each time
+SPEEDS = (0.4, 2.5)  # bounds on a backend's time for an answer as a multiple of the mean
+
+
+class Stand:
+    """One backend, as this porter knows it."""
+
+    __slots__ = ("stall", "held", "heard_at", "since", "pace_ms", "out_until", "out_us", "cold_until", "load")
+
+    def __init__(self, stall: Stall, now: int) -> None:
+        self.stall = stall
+        self.held, self.heard_at = 0, 0  # 0: not heard of
+        self.since: set[int] = set()  # own attempts sent since then and still open
+        self.pace_ms = 0.0
+        self.out_until = self.out_us = 0
+        self.cold_until = now + stall.cold_ms * 1000
+        self.load = 0.0  # as of the last look
+
+
+class Table:
+    """The backends of one service."""
+
+    def __init__(self, rng: Random) -> None:
+        self._rng = rng
+        self.stands: dict[str, Stand] = {}  # by the porter's node
+        self._ready: list[Stand] = []
+
+    # Who is there
+
+    def told(self, stall: Stall, now: int) -> None:
+        stand = self.stands.get(stall.node)
+        if stand is None or stand.stall.server != stall.server:
+            stand = self.stands[stall.node] = Stand(stall, now)
+        elif stand.stall.life != stall.life:
+            stand.out_until = stand.out_us = 0  # another porter, the same backend
+        stand.stall = stall
+        if stall.cold_ms:
+            stand.cold_until = now + stall.cold_ms * 1000
+        self._ready = [s for s in self.stands.values() if s.stall.state == "ready"]
+
+    def gone(self, node: str) -> None:
+        if self.stands.pop(node, None) is not None:
+            self._ready = [s for s in self.stands.values() if s.stall.state == "ready"]
+
+    @property
+    def ready(self) -> int:
+        return len(self._ready)
+
+    # What is heard
+
+    def sent(self, stand: Stand, attempt: int) -> None:
+        stand.since.add(attempt)
+
+    def ended(self, stand: Stand, attempt: int, load: Load | None, now: int) -> None:
+        """An attempt is over; `load` is what the porter beside the backend told with its end."""
+        stand.since.discard(attempt)
+        if load is not None:
+            stand.held, stand.heard_at = load.held, now
+            stand.since.clear()  # those that it holds are counted there
+            stand.out_us = 0
+            if load.pace_ms:
+                stand.pace_ms = load.pace_ms
+
+    def unreachable(self, stand: Stand, now: int) -> None:
+        stand.out_us = min(2 * stand.out_us or OUT_US, OUT_MOST_US)
+        stand.out_until = now + int(stand.out_us * (0.75 + 0.5 * self._rng.random()))
+
+    # The choice
+
+    def _look(self, now: int) -> None:
+        ready = self._ready
+        heard = [s for s in ready if s.heard_at]
+        mean = sum(s.held for s in heard) / len(heard) if heard else 0.0
+        paces = [s.pace_ms for s in heard if s.pace_ms]
+        pace = sum(paces) / len(paces) if paces else 1.0
+        for s in ready:
+            if s.heard_at:
+                weight = min(1.0, FRESH_US / (now - s.heard_at + 1))
+                held = mean + weight * (s.held - mean)
+            else:
+                held = mean  # not yet heard from: the mean of the others
+            speed = min(max(s.pace_ms / pace, SPEEDS[0]), SPEEDS[1]) if s.pace_ms else 1.0
+            if not s.pace_ms and s.cold_until > now:
+                speed = 2.0
+            s.load = (held + len(s.since) + self._rng.random()) * speed / max(1, s.stall.slots)
+
+    def pick(self, now: int, tried: list[Stand]) -> Stand | None:
+        """None: there is nobody left to try."""
+        pool = [s for s in self._ready if s.out_until <= now and s not in tried]
+        if not pool:
+            pool = [s for s in self._ready if s not in tried]  # all look unreachable: then this porter is, or none is
+        if not pool:
+            return None
+        self._look(now)
+        cuts = cutoffs([s.load for s in self._ready])
+        n, random = len(pool), self._rng.random
+        one, other = pool[int(random() * n)], pool[int(random() * n)]
+        return one if lower_band(self._rng, cuts, one.load, other.load) else other
+
+    def pace_ms(self) -> float:
+        paces = [s.pace_ms for s in self._ready if s.pace_ms]
+        return sum(paces) / len(paces) if paces else 0.0
--- /dev/null
+++ b/weighhouse/chain.py
@@ -0,0 +1,180 @@
+"""Calls down the chain, word of them up: each member has them on its disk before it passes them on. No I/O.
+
+Between two members there is one parcel at a time, with all that the next one lacks: under load calls go together.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from guild.messages import Have, Item, Lack, Message, Pass, Passed
+
+from .disk import Save
+from .member import Core
+
+PASS_US = 900_000  # for a parcel to be on all disks below
+LACK_US = 400_000
+AGAIN_US = 50_000
+
+
+class Chain:
+    """One member's part."""
+
+    def __init__(self, core: Core) -> None:
+        self._core, self._world = core, core.world
+        self._acked = -1  # all below have this on disk; -1: not asked yet in this view and life
+        self._busy = False
+        self._era = 0  # counts views; what belongs to an earlier one is dropped
+        self._waiting: list[tuple[int, Callable[[bool], None]]] = []  # for a number to be on all disks
+        self._fed = False  # the member before has told how far the chain is
+        self.saving = 0  # items on their way to this disk
+        self.on_commit: Callable[[], None] = lambda: None
+        self.on_saved: Callable[[], None] = lambda: None
+        core.on_view.append(self._new_view)
+
+    def start(self) -> None:
+        self._push()
+
+    @property
+    def committed(self) -> int:
+        """All members have it; -1 while that is not known."""
+        if not self._core.member or not self._core.whole:
+            return -1
+        if self._core.tail:
+            return self._core.book.seq
+        return min(self._acked, self._core.book.seq)
+
+    @property
+    def synced(self) -> bool:
+        """Whole, and known to be so to the member before."""
+        return self.committed >= 0 and (self._core.head or self._fed)
+
+    def _new_view(self) -> None:
+        self._era += 1
+        self._acked, self._busy, self._fed = -1, False, False
+        waiting, self._waiting = self._waiting, []
+        # Those who wait get no clear answer: the call may have been dropped with the head of the view before.
+        for _, done in waiting:
+            done(False)
+        self._push()
+
+    def add(self, items: list[Item], seq: int, done: Callable[[bool], None]) -> None:
+        """The head's own: on its disk, then in its book, then down. `done(True)` when all have it."""
+        era = self._era
+
+        def on_disk() -> None:
+            self._core.book.apply(items, seq)
+            if era == self._era:
+                self._push()
+                self.wait(seq, done)
+                self._tell()
+            else:
+                done(False)
+
+        self._save(Save(items, facts={"seq": b"%d" % seq}), on_disk)
+
+    def _save(self, save: Save, done: Callable[[], None]) -> None:
+        def saved() -> None:
+            self.saving -= 1
+            done()
+            self.on_saved()
+
+        self.saving += 1
+        self._world.save(save, saved)
+
+    def wait(self, seq: int, done: Callable[[bool], None]) -> None:
+        """`done(True)` once all members have that on disk."""
+        if self.committed >= seq:
+            return done(True)
+        self._waiting.append((seq, done))
+
+    def _tell(self) -> None:
+        committed = self.committed
+        due = [w for w in self._waiting if w[0] <= committed]
+        if due:
+            self._waiting = [w for w in self._waiting if w[0] > committed]
+            for _, done in due:
+                done(True)
+        self.on_commit()
+
+    # To the next
+
+    def nudge(self, address: str, view: int, synced: bool) -> None:
+        """The next one has lost its place, as after a start: it is told again."""
+        below = self._core.next
+        if (below is not None and below.address == address and view == self._core.view.number and not synced
+                and not self._busy):
+            self._acked = -1
+            self._push()
+
+    def _push(self) -> None:
+        core = self._core
+        below = core.next
+        if below is None or self._busy or not core.whole or not (core.head or self._fed):
+            return
+        if self._acked >= core.book.seq:
+            return
+        self._busy = True
+        era = self._era
+        if self._acked < 0:
+            self._world.ask(below.address, Lack(core.view.number), LACK_US, lambda m: self._have(era, m))
+        else:
+            self._parcel(era, self._acked, False)
+
+    def _have(self, era: int, m: Message | None) -> None:
+        if era != self._era:
+            return
+        if not isinstance(m, Have):
+            return self._again(era)
+        # One that holds more than this one has calls that nobody acknowledged.
+        self._parcel(era, m.seq, not m.ok or m.seq > self._core.book.seq)
+
+    def _parcel(self, era: int, have: int, fill: bool) -> None:
+        book, below = self._core.book, self._core.next
+        assert below is not None
+        items = book.all() if fill else [i for i in book.items.values() if i.seq > have]
+        message = Pass(self._core.view.number, book.seq, items, fill)
+        self._world.ask(below.address, message, PASS_US, lambda m: self._passed(era, m))
+
+    def _passed(self, era: int, m: Message | None) -> None:
+        if era != self._era:
+            return
+        if not isinstance(m, Passed) or not m.ok:
+            self._acked = -1
+            return self._again(era)
+        self._busy = False
+        self._acked = max(self._acked, m.seq)
+        self._tell()
+        self._push()
+
+    def _again(self, era: int) -> None:
+        self._world.after(AGAIN_US, self._retry, era)
+
+    def _retry(self, era: int) -> None:
+        if era == self._era:
+            self._busy = False
+            self._push()
+
+    # From the one before
+
+    def lack(self, m: Lack, reply: Callable[[Message], None]) -> None:
+        core = self._core
+        if m.view != core.view.number or not core.member or core.head:
+            return reply(Passed(False, 0))
+        reply(Have(core.whole, core.book.seq))
+
+    def passed(self, m: Pass, reply: Callable[[Message], None]) -> None:
+        core, era = self._core, self._era
+        if m.view != core.view.number or not core.member or core.head or not (core.whole or m.fill):
+            return reply(Passed(False, 0))
+
+        def on_disk() -> None:
+            core.book.apply(m.items, m.seq, m.fill)
+            if era != self._era:
+                return reply(Passed(False, 0))
+            core.whole = self._fed = True
+            self._push()
+            self.wait(m.seq, lambda ok: reply(Passed(ok, m.seq)))
+            self._tell()
+
+        facts = {"seq": b"%d" % m.seq, "whole": b"1"}
+        self._save(Save(m.items, m.fill, facts), on_disk)
--- /dev/null
+++ b/weighhouse/disk.py
@@ -0,0 +1,135 @@
+"""The disk of one copy: sqlite3 in a thread of its own that syncs; what waits meanwhile goes into one commit.
+
+Settings: WAL (one sync a commit), synchronous FULL (a commit is on disk before it is told), locking EXCLUSIVE (no file
+of shared memory). A file that cannot be read is put away, and the copy is a stranger then.
+"""
+from __future__ import annotations
+
+import os
+import sqlite3
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from queue import SimpleQueue
+from threading import Thread
+
+from guild.messages import Item
+from guild.reactor import Reactor
+from guild.ring import log
+
+FILE = "weighhouse.db"
+AGAIN_S = 0.05
+SCHEMA = """
+create table if not exists item (kind text, name text, version integer, seq integer, body blob,
+                                 primary key (kind, name)) without rowid;
+create table if not exists fact (name text primary key, value blob) without rowid;
+"""
+
+
+@dataclass(slots=True)
+class Save:
+    """What is to be on disk together."""
+
+    items: Iterable[Item] = ()
+    fill: bool = False  # these are all that there are
+    facts: dict[str, bytes] = field(default_factory=dict)
+
+
+Done = Callable[[], None]
+
+
+class Disk:
+    """Owns the file. `save` returns at once; `done` is called in the loop when all of it is on disk."""
+
+    def __init__(self, reactor: Reactor, folder: str) -> None:
+        self._reactor, self._path = reactor, os.path.join(folder, FILE)
+        self._queue: SimpleQueue[tuple[Save, Done] | None] = SimpleQueue()
+        self._since = 0  # when the oldest save that is not done was asked for; 0: none is out
+        self._out = 0
+        self.items: list[Item] = []
+        self.facts: dict[str, bytes] = {}
+        os.makedirs(folder, exist_ok=True)
+        try:
+            self._db = self._open()
+        except sqlite3.DatabaseError as e:
+            log.warning("%s cannot be read and is put away: %s", self._path, e)
+            self._put_away()
+            self._db = self._open()
+        self._thread = Thread(target=self._work, daemon=True)
+        self._thread.start()
+
+    def _open(self) -> sqlite3.Connection:
+        """Raises sqlite3.DatabaseError."""
+        db = sqlite3.connect(self._path, isolation_level=None, check_same_thread=False)
+        db.execute("pragma locking_mode=exclusive")
+        db.execute("pragma journal_mode=wal")
+        db.execute("pragma synchronous=full")
+        db.execute("pragma cache_size=-256")
+        db.executescript(SCHEMA)
+        if db.execute("pragma quick_check").fetchone()[0] != "ok":
+            raise sqlite3.DatabaseError("quick_check failed")
+        self.items = [Item(*row) for row in db.execute("select kind, name, version, seq, body from item")]
+        self.facts = dict(db.execute("select name, value from fact"))
+        self._sync_folder()
+        return db
+
+    def _put_away(self) -> None:
+        for ending in ("", "-wal", "-shm", "-journal"):
+            if os.path.exists(self._path + ending):
+                os.replace(self._path + ending, f"{self._path}{ending}.bad")
+
+    def _sync_folder(self) -> None:
+        fd = os.open(os.path.dirname(self._path), os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+
+    def save(self, save: Save, done: Done) -> None:
+        self._since = self._since or self._reactor.now()
+        self._out += 1
+        self._queue.put((save, done))
+
+    def waits_us(self) -> int:
+        """For how long the oldest save has been out."""
+        return self._reactor.now() - self._since if self._since else 0
+
+    def _work(self) -> None:
+        while (first := self._queue.get()) is not None:
+            batch = [first]
+            while not self._queue.empty():
+                more = self._queue.get()
+                if more is None:
+                    self._queue.put(None)
+                    break
+                batch.append(more)
+            while not self._commit(batch):
+                time.sleep(AGAIN_S)  # a disk that refuses: nothing is told until it takes it
+            self._reactor.call_from_thread(self._done, [done for _, done in batch])
+
+    def _commit(self, batch: list[tuple[Save, Done]]) -> bool:
+        db = self._db
+        try:
+            db.execute("begin immediate")
+            for save, _ in batch:
+                if save.fill:
+                    db.execute("delete from item")
+                db.executemany("insert or replace into item values (?, ?, ?, ?, ?)",
+                               [(i.kind, i.name, i.version, i.seq, i.body) for i in save.items])
+                db.executemany("insert or replace into fact values (?, ?)", list(save.facts.items()))
+            db.execute("commit")
+            return True
+        except sqlite3.Error as e:
+            log.warning("the disk refuses: %s", e)
+            try:
+                if db.in_transaction:
+                    db.execute("rollback")
+            except sqlite3.Error:
+                pass
+            return False
+
+    def _done(self, done: list[Done]) -> None:
+        self._out -= len(done)
+        self._since = self._reactor.now() if self._out else 0
+        for call in done:
+            call()
--- /dev/null
+++ b/weighhouse/entry.py
@@ -0,0 +1,177 @@
+"""The ways in: calls go to the head, reads and followers to the tail, whoever was asked. No I/O.
+
+One that is not the right member passes the question on; a question that has been passed on once too often gets no clear
+answer, which is true whatever became of it.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure
+
+from guild.messages import Book as BookNews
+from guild.messages import Confirm, Confirmed, Follow, Item, Member, Message, Patch, Read, Reply
+
+from . import call as calls
+from .book import Book
+from .chain import Chain
+from .member import Core
+from .watch import Watch
+
+HOPS = 2
+RELAY_US = 850_000  # a caller moves on after a second of silence
+WAIT_US = 800_000
+CONFIRM_US = 400_000
+MOST_WAITING = 64
+UNCLEAR = Reply(503, b'{"Message":"no clear answer; send it again"}')
+
+Replier = Callable[[Message], None]
+
+
+class Entry:
+    """One machine's."""
+
+    def __init__(self, core: Core, chain: Chain, watch: Watch) -> None:
+        self._core, self._world, self._chain, self._watch = core, core.world, chain, watch
+        self._queue: list[tuple[calls.Call, Replier]] = []
+        self._followers: list[tuple[Follow, Replier]] = []
+        self.refused: list[str] = []  # why, the latest last
+        chain.on_commit, chain.on_saved = self._committed, self._write
+        core.on_view.append(self._new_view)
+
+    # Calls
+
+    def patch(self, m: Patch, reply: Replier) -> None:
+        core = self._core
+        if not core.head or not core.whole:
+            return self._pass_on(core.view.members[:1], m, reply)
+        read = calls.read(m.body)
+        if isinstance(read, Failure):
+            return self._refuse(read.failure(), reply)
+        if len(self._queue) >= MOST_WAITING:
+            return reply(Reply(503, b'{"Message":"too many calls at once"}'))
+        answered = False
+
+        def once(answer: Message) -> None:
+            nonlocal answered
+            if not answered:
+                answered = True
+                reply(answer)
+
+        self._world.after(WAIT_US, once, UNCLEAR)
+        self._queue.append((read.unwrap(), once))
+        self._write()
+
+    def _refuse(self, why: str, reply: Replier) -> None:
+        self.refused = [*self.refused[-15:], why]
+        reply(Reply(400, msgspec.json.encode({"Message": why})))
+
+    def _write(self) -> None:
+        """All calls that wait are checked one behind the other, and go to disk together."""
+        core = self._core
+        # What is on its way to this disk, perhaps from a view before, goes first: it has the next number.
+        if self._chain.saving or not self._queue or not core.head or not core.whole:
+            return
+        queue, self._queue = self._queue, []
+        draft = Book()
+        draft.items, draft.seq = dict(core.book.items), core.book.seq
+        before = draft.seq
+        taken: list[Replier] = []
+        for call, reply in queue:
+            changed = calls.against(draft, call, draft.seq + 1)
+            if isinstance(changed, Failure):
+                self._refuse(changed.failure(), reply)
+                continue
+            items = changed.unwrap()
+            if items:
+                draft.apply(items, draft.seq + 1)
+            taken.append(reply)
+
+        def done(ok: bool) -> None:
+            for reply in taken:
+                reply(Reply(200, b"{}") if ok else UNCLEAR)
+
+        if draft.seq == before:  # old news; but what it found here must be on all disks, too
+            return self._chain.wait(before, done)
+        items = [i for i in draft.items.values() if i.seq > before]
+        self._chain.add(items, draft.seq, done)
+
+    def _pass_on(self, to: tuple[Member, ...], m: Patch | Read, reply: Replier) -> None:
+        if m.hops >= HOPS or not to or to[0] == self._core.me:
+            return reply(UNCLEAR)
+        again = Patch(m.body, m.hops + 1) if isinstance(m, Patch) else Read(m.hops + 1)
+        self._world.ask(to[0].address, again, RELAY_US, lambda a: reply(a if isinstance(a, Reply) else UNCLEAR))
+
+    def _new_view(self) -> None:
+        queue, self._queue = self._queue, []
+        for _, reply in queue:
+            reply(UNCLEAR)
+        followers, self._followers = self._followers, []
+        for _, reply in followers:
+            reply(self._news([], -1))
+
+    # Reads
+
+    def read(self, m: Read, reply: Replier) -> None:
+        core = self._core
+        if not core.tail:
+            return self._pass_on(core.view.members[-1:], m, reply)
+        if not self._chain.synced:
+            return reply(UNCLEAR)
+        view, body = core.view.number, core.book.layout()
+        need = len(core.view.members) // 2 + 1
+        yes, asked, over = 0, len(core.view.members), False
+
+        def confirmed(a: Message | None) -> None:
+            nonlocal yes, asked, over
+            asked -= 1
+            yes += isinstance(a, Confirmed) and a.ok
+            if over or (yes < need and asked):
+                return
+            over = True
+            reply(Reply(200, body) if yes >= need and core.view.number == view else UNCLEAR)
+
+        for member in core.view.members:
+            self._world.ask(member.address, Confirm(view), CONFIRM_US, confirmed)
+
+    def confirm(self, m: Confirm, reply: Replier) -> None:
+        core = self._core
+        reply(Confirmed(core.member and core.view.number == m.view and not core.blocked))
+
+    # Followers
+
+    def follow(self, m: Follow, reply: Replier) -> None:
+        core = self._core
+        if not core.tail:
+            to = core.view.members[-1:]
+            if m.hops >= HOPS or not to:
+                return reply(self._news([], -1))
+            again = Follow(m.seq, m.wait_ms, m.hops + 1)
+            return self._world.ask(
+                to[0].address, again, m.wait_ms * 1000 + 300_000,
+                lambda a: reply(a if isinstance(a, BookNews) else self._news([], -1)))
+        if not self._chain.synced or not self._watch.sure():
+            return reply(self._news([], -1))
+        if core.book.seq > m.seq:
+            return reply(self._news(core.book.since(m.seq), core.book.seq))
+        self._followers.append((m, reply))
+        self._world.after(m.wait_ms * 1000, self._waited, m)
+
+    def _news(self, items: list[Item], seq: int) -> BookNews:
+        """`seq` -1: nothing sure can be said."""
+        return BookNews(seq, items, seq >= 0, self._watch.peers())
+
+    def _waited(self, m: Follow) -> None:
+        for follower in [f for f in self._followers if f[0] is m]:
+            self._followers.remove(follower)
+            sure = self._core.tail and self._chain.synced and self._watch.sure()
+            follower[1](self._news([], self._core.book.seq if sure else -1))
+
+    def _committed(self) -> None:
+        if not self._followers or not self._core.tail or not self._chain.synced or not self._watch.sure():
+            return
+        due = [f for f in self._followers if f[0].seq < self._core.book.seq]
+        self._followers = [f for f in self._followers if f[0].seq >= self._core.book.seq]
+        for m, reply in due:
+            reply(self._news(self._core.book.since(m.seq), self._core.book.seq))
--- /dev/null
+++ b/weighhouse/member.py
@@ -0,0 +1,104 @@
+"""One machine of the chain: the state that all its parts share, and the adoption of views.
+
+What is acknowledged is on the disks of all members of the view in which it was; a later view begins with a member of
+the one before, in the same order, so its head has all of it. Messages of an older view are refused. No I/O.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from guild.messages import Item, Member, Message, View
+from guild.ring import log
+
+from .book import Book
+from .council import Accord, Acceptor
+from .disk import Save
+from .world import World
+
+NOBODY = View(-1, ())
+
+
+class Core:
+    """What is on disk, and what is believed of the others."""
+
+    def __init__(self, world: World, me: Member, view: View, whole: bool, accord: Accord, items: list[Item], seq: int
+                 ) -> None:
+        self.world, self.me, self.view = world, me, view
+        self.whole = whole  # the book is a prefix of this view's; else it must be filled by the member before
+        self.book = Book()  # as it is on this disk
+        self.book.apply(items, seq)
+        self.acceptor = Acceptor(me, accord, self)
+        self.leaving = False
+        self.on_view: list[Callable[[], None]] = []
+        self.entered_at = world.now()  # when this view was adopted in this life
+        self.known: dict[str, int] = {}  # addresses of other machines of the store: when last heard of
+
+    # Who is who
+
+    @property
+    def member(self) -> bool:
+        return self.me in self.view.members
+
+    @property
+    def at(self) -> int:
+        """Place in the chain."""
+        return self.view.members.index(self.me)
+
+    @property
+    def head(self) -> bool:
+        return self.member and self.view.members[0] == self.me
+
+    @property
+    def tail(self) -> bool:
+        return self.member and self.view.members[-1] == self.me
+
+    @property
+    def next(self) -> Member | None:
+        """Down the chain."""
+        if not self.member or self.tail:
+            return None
+        return self.view.members[self.at + 1]
+
+    @property
+    def blocked(self) -> bool:
+        return self.acceptor.blocked(self.view)
+
+    # The disk
+
+    def keep(self, name: str, value: bytes, done: Callable[[], None]) -> None:
+        self.world.save(Save(facts={name: value}), done)
+
+    # Views
+
+    def adopt(self, view: View) -> bool:
+        """A view that stands. Returns whether it is news."""
+        if view.number <= self.view.number:
+            return False
+        # A view was missed, or this machine was left out of one, or now stands behind one that stood behind it: what
+        # it holds beyond that one was never acknowledged, and is to be filled anew. The head missed nothing.
+        before = self.view
+        follows = view.number == before.number + 1 and self.member
+        log.info("view %d: %s", view.number, " ".join(m.address for m in view.members))
+        self.view = view
+        if not self.member:
+            self.whole = False
+        elif not self.head:
+            above = view.members[self.at - 1]
+            self.whole = (self.whole and follows and above in before.members
+                          and before.members.index(above) < before.members.index(self.me))
+        self.entered_at = self.world.now()
+        self.world.save(Save(facts=self.facts()), lambda: None)  # of the book another save may be under way
+        for call in self.on_view:
+            call()
+        return True
+
+    def facts(self) -> dict[str, bytes]:
+        return {"view": msgspec.msgpack.encode(self.view), "whole": b"1" if self.whole else b"0"}
+
+    def take_view(self, message: Message | None) -> None:
+        """Any message that carries one."""
+        view = getattr(message, "view", None)
+        if isinstance(view, View):
+            self.adopt(view)
