News in bounded pieces, the configuration from one crier at a time

Cause: after 350 new routes on links of 3 Mbit/s whole configurations took longer than the wait for an answer; each was asked for again and sent behind the last (0.93 GB between zones, 75 MB in criers), and nothing else fitted on the links. Each change has a number of its own now, so that an answer can hold any prefix; the second crier says only that there is more. Ruled out: the head's check of the call (acknowledged after 0.12 s).

--- a/crier/process.py
+++ b/crier/process.py
@@ -42,6 +42,8 @@
 SURE_US = 900_000  # the store said so within this
 CALL_US = 950_000
 STOOD_US = 400_000
+GATHER_US = 20_000  # changes that come together are told together
+PIECE, ITEM = 12_000, 40  # bytes of configuration in one answer; of an item beyond its body
 ANOTHER_US = 300_000  # time left in which another store may be asked
 
 
@@ -63,6 +65,7 @@
         self._waiting: list[tuple[Ask, Callable[[Message], None]]] = []
         self._listening: list[tuple[Gossip, Callable[[Message], None]]] = []
         self._turned_at = reactor.now()
+        self._telling = False
         handlers: dict[type, Handler] = {Ask: self._asked, Gossip: self._gossip, Status: self._status}
         self._desk = Desk(reactor, Address(settings.ip, settings.ports[0]), handlers)
         self._door = ControlServer(reactor, settings.listen["ControlPort"], self._called)
@@ -113,18 +116,30 @@
         self._reactor.after(m.wait_ms * 1000, self._waited, m)
 
     def _lacks(self, m: Ask) -> bool:
-        return m.crier != self._life or m.board < self._board.version or (self._sure and m.book < self._book)
+        if m.crier != self._life or m.board < self._board.version:
+            return True
+        return self._sure and (m.newest < self._book or 0 <= m.book < self._book)
 
     def _news(self, m: Ask) -> News:
         stalls, gone = self._board.since(m.board if m.crier == self._life else 0)
         items: list[Item] = []
         book = m.book
-        if self._sure and m.book < self._book:
-            book = self._book
-            items = [i for i in self._items.values() if i.seq > m.book and (m.book or i.body is not None)]
+        if self._sure and 0 <= m.book < self._book:
+            items, book = self._piece(m.book)
         criers = [f"{host}:{self._settings.ports[0]}" for host in sorted(self._cores)]
-        return News(self._life, self._board.version, stalls, gone, book, items,
-                    self._sure and book >= self._book, criers)
+        return News(self._life, self._board.version, stalls, gone, book, items, self._book, self._sure, criers)
+
+    def _piece(self, book: int) -> tuple[list[Item], int]:
+        """What comes next after that number, in bounded size: what takes long on a thin link is asked for again before
+        it is there."""
+        lacking = sorted((i for i in self._items.values() if i.seq > book and (book or i.body is not None)),
+                         key=lambda i: i.seq)
+        size = 0
+        for at, item in enumerate(lacking):
+            size += ITEM + len(item.body or b"")
+            if size > PIECE and at:
+                return lacking[:at], lacking[at - 1].seq
+        return lacking, self._book
 
     def _waited(self, m: Ask) -> None:
         for waiting in [w for w in self._waiting if w[0] is m]:
@@ -132,7 +147,13 @@
             waiting[1](self._news(m))
 
     def _tell(self) -> None:
-        """Something changed: answer all who lack it."""
+        """Something changed: answer all who lack it, soon."""
+        if not self._telling:
+            self._telling = True
+            self._reactor.after(GATHER_US, self._told_all)
+
+    def _told_all(self) -> None:
+        self._telling = False
         due = [w for w in self._waiting if self._lacks(w[0])]
         if due:
             self._waiting = [w for w in self._waiting if not self._lacks(w[0])]
--- a/guild/messages.py
+++ b/guild/messages.py
@@ -105,7 +105,7 @@
     kind: str  # route, service, limits
     name: str
     version: int
-    seq: int  # the chain's number of the call that set it
+    seq: int  # the number that the chain gave the change
     body: bytes | None
 
 
@@ -115,7 +115,8 @@
     stall: Stall
     crier: int  # life of the crier, as last told
     board: int  # version of that crier's board
-    book: int  # version of the configuration
+    book: int  # number of the configuration that it has; -1: it wants no items from this one
+    newest: int  # that it knows to be there
     wait_ms: int
 
 
@@ -126,10 +127,11 @@
     board: int
     stalls: list[Stall]
     gone: list[str]  # nodes
-    book: int
-    items: list[Item]
-    sure: bool  # a majority of the chain stands behind this as of now
-    criers: list[str]  # addresses of control
+    book: int  # with these items the configuration is complete up to this number
+    items: list[Item]  # a piece
+    newest: int  # number of the configuration at this crier
+    sure: bool  # a majority of the chain stands behind that as of now
+    criers: list[str]  # where they take questions
 
 
 class Gossip(Message):
--- a/porter/news.py
+++ b/porter/news.py
@@ -22,6 +22,7 @@
 LATE_US = 500_000  # beyond the wait
 REST_US = 150_000
 SHUN_US = 2_000_000  # one that gave no answer
+BEHIND_US = 150_000
 SURE_US = 1_300_000  # a crier has said so within this
 
 
@@ -36,6 +37,8 @@
         self._hanging: dict[str, int] = {}  # crier: number of the question that is out
         self._shunned: dict[str, int] = {}
         self._asks = 0
+        self._newest = 0  # number of the configuration that is known to be there
+        self._behind: set[str] = set()  # criers to be asked for items out of turn
         self._born = time.time_ns() // 1_000_000
         self._count = 0
         self._sure_at = -SURE_US
@@ -78,10 +81,17 @@
         number = self._asks
         self._hanging[crier] = number
         life, board = self._vector.get(crier, (0, 0))
-        ask = Ask(self.stall(), life, board, self._carrier.routes.seq, wait_ms)
+        # One crier brings the configuration; the others say that there is more, and are asked if that one fails.
+        wants = crier == self._first() or crier in self._behind
+        self._behind.discard(crier)
+        ask = Ask(self.stall(), life, board, self._carrier.routes.seq if wants else -1, self._newest, wait_ms)
         self._peers.to(parse_address(crier)).ask(
             ask, wait_ms * 1000 + LATE_US, lambda m: self._answered(crier, number, m))
 
+    def _first(self) -> str:
+        open_to = self._criers - self._shunned.keys() or self._criers
+        return next(iter(chosen(self._settings.node, open_to, 1)), "")
+
     def _answered(self, crier: str, number: int, m: Message | None) -> None:
         current = self._hanging.get(crier) == number
         if current:
@@ -117,15 +127,25 @@
             self.stalls.pop(node, None)
             for table in self._carrier.tables.values():
                 table.gone(node)
-        if m.items or m.book > self._carrier.routes.seq:
-            self._carrier.routes.apply(m.items, m.book)
-        if m.sure:
+        routes = self._carrier.routes
+        if m.items or m.book > routes.seq:
+            routes.apply(m.items, m.book)
+        self._newest = max(self._newest, m.newest)
+        if m.sure and routes.seq >= m.newest:
             self._sure_at = now
+        elif m.sure and not m.items:
+            self._reactor.after(BEHIND_US, self._still_behind, crier)
         if m.criers:
             self._criers = set(m.criers)
         self._carrier.porters = max(1, len(self.stalls))
         self.on_news()
 
+    def _still_behind(self, crier: str) -> None:
+        """That crier knows of more, and the one that should bring it has not."""
+        if self._carrier.routes.seq < self._newest:
+            self._behind.add(crier)
+            self._ask(crier, WAIT_MS)
+
     def _stall_told(self, stall: Stall, now: int) -> None:
         held = self.stalls.get(stall.node)
         if held is not None and held.life == stall.life and held.count >= stall.count:
--- a/weighhouse/book.py
+++ b/weighhouse/book.py
@@ -1,4 +1,4 @@
-"""The items of the configuration, by kind and name: a version each, and the chain's number of the call that set it.
+"""The items of the configuration, by kind and name: a version each, and the number that the chain gave the change.
 
 Copies need no log: of two states of one name that of the higher number is the later one, so that what a copy lacks is
 told by its number alone. No I/O.
--- a/weighhouse/call.py
+++ b/weighhouse/call.py
@@ -157,15 +157,15 @@
     return [then["TargetService"]] if "TargetService" in then else [p["TargetService"] for p in then["TrafficSplit"]]
 
 
-def against(book: Book, call: Call, seq: int) -> Result[list[Item], str]:
-    """What the call changes in this book, as items under that number; all of it or, as a Failure, nothing."""
+def against(book: Book, call: Call) -> Result[list[Item], str]:
+    """What the call changes in this book, as items with the next numbers; all of it or, as a Failure, nothing."""
     routes, services = book.standing(ROUTE), book.standing(SERVICE)
     items: list[Item] = []
     for change in call:
         if change.version <= book.version(change.kind, change.name):
             continue
         body = None if change.body is None else msgspec.json.encode(change.body)
-        items.append(Item(change.kind, change.name, change.version, seq, body))
+        items.append(Item(change.kind, change.name, change.version, book.seq + len(items) + 1, body))
         held = {ROUTE: routes, SERVICE: services}.get(change.kind)
         if held is None:
             continue
--- a/weighhouse/entry.py
+++ b/weighhouse/entry.py
@@ -79,13 +79,13 @@
         before = draft.seq
         taken: list[Replier] = []
         for call, reply in queue:
-            changed = calls.against(draft, call, draft.seq + 1)
+            changed = calls.against(draft, call)
             if isinstance(changed, Failure):
                 self._refuse(changed.failure(), reply)
                 continue
             items = changed.unwrap()
             if items:
-                draft.apply(items, draft.seq + 1)
+                draft.apply(items, items[-1].seq)
             taken.append(reply)
 
         def done(ok: bool) -> None:
