--- a/crier/__main__.py
+++ b/crier/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m crier`: one registry, as the settings file tells."""
+"""`python -m crier`: one registry, as the settings file tells; with a command, what operators ask."""
 from __future__ import annotations
 
 import sys
@@ -6,10 +6,17 @@
 from guild.start import start
 
 
-def main() -> int:
+def process() -> int:
     from .process import Process
     return start("crier", Process)
 
 
+def main() -> int:
+    if len(sys.argv) == 1:
+        return process()
+    from guild.commands import Commands, run
+    return run("crier", Commands)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/fairground/__main__.py
@@ -0,0 +1,50 @@
+"""`python -m fairground`: a mesh of real processes on loopback serves for some seconds while parts of it are killed."""
+from __future__ import annotations
+
+import sys
+
+from .loopback import Fair, rules
+
+
+def tour(seconds: float = 8.0) -> int:
+    """Three core machines, four porters with a backend each, eight clients; a core machine is killed and comes back, a
+    route is added meanwhile, a backend drains. 1 where a rule was broken."""
+    with Fair() as fair:
+        statuses: list[int] = []
+        fair.operate(rules(1, ["reads", "writes"]), statuses.append)
+        if not fair.until(lambda: statuses == [200], 10):
+            print(f"the first configuration is not acknowledged: {statuses}")
+            return 1
+        fair.run(1.5)  # beats and news
+        until = fair.reactor.now() + int(seconds * 1e6)
+        for ip in fair.sidecars:
+            fair.client(ip, b"/reads/a", b"GET", until)
+            fair.client(ip, b"/writes/a", b"POST", until)
+        for second in range(int(seconds)):
+            told = ""
+            if second == 2:
+                fair.kill_core(fair.cores[0])
+                told = f"core machine {fair.cores[0]} is killed"
+            elif second == 3:
+                fair.operate(rules(2, ["more"]), statuses.append)
+                told = "a route is added"
+            elif second == 4:
+                fair.start_core(fair.cores[0])
+                told = f"{fair.cores[0]} is started again"
+            elif second == 5:
+                fair.backends[fair.sidecars[0]].state = "draining"
+                told = f"the backend beside {fair.sidecars[0]} drains"
+            before = fair.served.copy()
+            fair.run(1.0)
+            now = fair.served - before
+            counts = "  ".join(f"{what} {now[what]:4}" for what in ("served", "refused", "failed"))
+            print(f"{second:3} s  {counts}  {told}", flush=True)
+        fair.run(0.5)
+        doubled = [n for n in fair.doubled() if fair.answered.get(n) != 200]
+        twice = [n for n, times in fair.ran.items() if times > 1]
+        print(f"calls of the operator: {statuses}; refused and run: {len(doubled)}; run more than once: {len(twice)}")
+        return int(statuses != [200, 200] or bool(doubled) or not fair.served["served"])
+
+
+if __name__ == "__main__":
+    sys.exit(tour())
--- /dev/null
+++ b/fairground/loopback.py
@@ -0,0 +1,245 @@
+"""A mesh of real processes on this machine's loopback: core machines, porters, backends, clients and an operator.
+
+Each machine is an address of 127.0.0.0/8 of its own, so that all use the same ports, as the platform has it. Bounded:
+so many seconds, so many clients, each with one request at a time.
+"""
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from types import TracebackType
+
+import msgspec
+from httptools import HttpRequestParser, HttpResponseParser
+
+from guild.link import Listener, connect
+from guild.reactor import Reactor
+from lilacsill.address import Address
+from lilacsill.http1.connection import Connection
+from lilacsill.http1.message import Message, Reader, answer, request
+from lilacsill.net import reactor as watchers
+
+from .core import put, route
+
+OUTGOING, READY, CONTROL, APP, INTERNAL = 18141, 18140, 18146, 18147, (17660, 17675)
+BEAT_US, WORK_US, REST_US = 500_000, 20_000, 30_000
+PATIENCE_MS = 1_000
+SERVICE = "s"
+
+SETTINGS = """NodeName = "{name}"
+IpAddress = "{ip}"
+ZoneName = "z{zone}"
+InternalPorts = [{first},{last}]
+SeedNodes = [{seeds}]
+FreshStart = {fresh}
+LossCounts = {counts}
+BeatEveryMs = 500
+TimingBounds = ["DrainWithinMs=2000","GracePeriodS=6","RetryRatio=0.2","RetryWindowS=10","RetrySlack=60"]
+{more}
+[ListenOn]
+ControlPort = "{ip}:{control}"
+{listen}
+[Survive]
+LostMachines = 1
+"""
+
+
+class Exchange(Connection):
+    """One request of somebody outside; `done` hears the status once, 0 where no whole answer came."""
+
+    def __init__(self, reactor: Reactor, to: Address, data: bytes, done: Callable[[int, bytes], None]) -> None:
+        super().__init__()
+        self._reader, self._data, self._done = Reader(HttpResponseParser, 1 << 24), data, done
+        self._over = False
+        reactor.after(PATIENCE_MS * 1500, self._end, 0, b"")
+
+        def opened(sock: object) -> None:
+            self.attach(sock)  # type: ignore[arg-type]
+            self.send(self._data)
+
+        connect(reactor, to, PATIENCE_MS * 1000, opened, lambda e: self._end(0, b""))
+
+    def on_data(self, data: bytes) -> None:
+        for message in self._reader.feed(data):
+            self._end(message.status, bytes(message.body))
+
+    def on_end(self) -> None:
+        self._end(0, b"")
+
+    def _end(self, status: int, body: bytes) -> None:
+        if not self._over:
+            self._over = True
+            if self.stream is not None:
+                self.drop()
+            self._done(status, body)
+
+
+class Backend:
+    """An application beside a porter: works for a while on each request, and beats."""
+
+    def __init__(self, fair: Fair, ip: str, life: int = 1) -> None:
+        self.fair, self.ip, self.server = fair, ip, f"i-{ip}-{life}"
+        self.count = 0
+        self.state = "ready"
+        self.listener = Listener(fair.reactor, Address(ip, APP), self._accepted)
+        self._beat()
+
+    def _accepted(self, sock: object) -> None:
+        Worker(self).attach(sock)  # type: ignore[arg-type]
+
+    def _beat(self) -> None:
+        self.count += 1
+        body = msgspec.json.encode({
+            "Address": f"{self.ip}:{APP}", "Details": {"TargetService": SERVICE, "FreeSlots": 8},
+            "Condition": {"ServerState": self.state, "CallCount": self.count, "ColdLeftMs": 0}})
+        data = request(b"PUT", f"/api/servers/{self.server}".encode(), [(b"Host", b"porter")], body)
+        Exchange(self.fair.reactor, Address(self.ip, CONTROL), data, lambda status, body: None)
+        self.fair.reactor.after(BEAT_US, self._beat)
+
+
+class Worker(Connection):
+    def __init__(self, backend: Backend) -> None:
+        super().__init__()
+        self._backend, self._reader = backend, Reader(HttpRequestParser, 1 << 24)
+
+    def on_data(self, data: bytes) -> None:
+        for message in self._reader.feed(data):
+            self._backend.fair.reactor.after(WORK_US, self._answer, message)
+
+    def _answer(self, message: Message) -> None:
+        if not self.open:
+            return
+        number = message.header(b"attempt-id") or ""
+        if number:
+            self._backend.fair.ran[number] += 1
+        headers = [("Attempt-Id", number), ("Server-Seal", "fair"), ("Answering-Server", self._backend.server),
+                   ("Server-Load", "1,0,8")]
+        self.send(answer(200, headers, b"x" * 500))
+
+
+class Fair:
+    """The processes and the world round them."""
+
+    def __init__(self, cores: int = 3, sidecars: int = 4) -> None:
+        self.reactor = Reactor()
+        self.cores = [f"127.0.1.{i + 1}" for i in range(cores)]
+        self.sidecars = [f"127.0.2.{i + 1}" for i in range(sidecars)]
+        self.ran: Counter[str] = Counter()  # times that a request was run, by its id
+        self.answered: dict[str, int] = {}  # status, by id
+        self.served: Counter[str] = Counter()
+        self._folder = tempfile.TemporaryDirectory(prefix="fairground-")
+        self._processes: dict[tuple[str, str], subprocess.Popen[bytes]] = {}
+        self._numbers = 0
+        self.backends: dict[str, Backend] = {}
+
+    def __enter__(self) -> Fair:
+        for ip in self.cores:
+            self.start_core(ip, fresh=True)
+        for ip in self.sidecars:
+            self.start("porter", ip, fresh=True)
+            self.backends[ip] = Backend(self, ip)
+        return self
+
+    def __exit__(self, kind: type[BaseException] | None, e: BaseException | None, t: TracebackType | None) -> None:
+        for process in self._processes.values():
+            process.kill()
+        for process in self._processes.values():
+            process.wait()
+        self.reactor.close()
+        watchers.install(None)
+        self._folder.cleanup()
+
+    # Processes
+
+    def start_core(self, ip: str, fresh: bool = False) -> None:
+        self.start("weighhouse", ip, fresh)
+        self.start("crier", ip, fresh)
+
+    def start(self, program: str, ip: str, fresh: bool = False) -> None:
+        folder = Path(self._folder.name, ip, program)
+        folder.mkdir(parents=True, exist_ok=True)
+        beside = program == "porter"
+        more = f'AppAddress = "{ip}:{APP}"\nTargetService = "{SERVICE}"' if beside else f'DataFolder = "{folder}"'
+        listen = f'Outgoing = "{ip}:{OUTGOING}"\nReadyCheck = "{ip}:{READY}"' if beside else ""
+        path = folder / "node.toml"
+        path.write_text(SETTINGS.format(
+            name=f"{program}-{ip}", ip=ip, zone=ip[-1], first=INTERNAL[0], last=INTERNAL[1], control=CONTROL,
+            seeds=",".join(f'"{c}:{CONTROL}"' for c in self.cores[:3]), fresh=str(fresh).lower(),
+            counts=str(not beside).lower(), more=more, listen=listen))
+        env = {**os.environ, "LILACSILL_SETTINGS": str(path)}
+        self._processes[program, ip] = subprocess.Popen([sys.executable, "-m", program], env=env)
+
+    def kill_core(self, ip: str) -> None:
+        for program in ("crier", "weighhouse"):
+            process = self._processes.pop((program, ip))
+            process.kill()
+            process.wait()
+
+    def terminate(self, program: str, ip: str) -> subprocess.Popen[bytes]:
+        process = self._processes.pop((program, ip))
+        process.send_signal(signal.SIGTERM)
+        return process
+
+    # The world
+
+    def operate(self, body: dict[str, object], done: Callable[[int], None], at: int = 0) -> None:
+        """Until a clear answer comes, at one core machine after the other."""
+        data = request(b"PATCH", b"/api/config", [(b"Host", b"core")], msgspec.json.encode(body))
+
+        def answered(status: int, _: bytes) -> None:
+            if status == 0 or status >= 500:
+                self.reactor.after(200_000, self.operate, body, done, at + 1)
+            else:
+                done(status)
+
+        Exchange(self.reactor, Address(self.cores[at % len(self.cores)], CONTROL), data, answered)
+
+    def client(self, ip: str, path: bytes, method: bytes, until: int) -> None:
+        """One request after the other."""
+        if self.reactor.now() >= until:
+            return
+        self._numbers += 1
+        number = f"n{self._numbers}"
+        headers = [(b"Host", b"h.example"), (b"Attempt-Id", number.encode()), (b"Time-Left-Ms", b"%d" % PATIENCE_MS)]
+        data = request(method, path, headers, b"body" if method == b"POST" else b"")
+
+        def answered(status: int, _: bytes) -> None:
+            self.answered[number] = status
+            what = "served" if status == 200 else "refused" if status == 503 else "failed"
+            self.served[what] += 1
+            self.reactor.after(REST_US, self.client, ip, path, method, until)
+
+        Exchange(self.reactor, Address(ip, OUTGOING), data, answered)
+
+    def run(self, seconds: float) -> None:
+        over: list[bool] = []
+        self.reactor.after(int(seconds * 1e6), over.append, True)
+        while not over:
+            self.reactor.turn()
+
+    def until(self, true: Callable[[], bool], seconds: float) -> bool:
+        """Run until it is so, or for that long."""
+        over: list[bool] = []
+        self.reactor.after(int(seconds * 1e6), over.append, True)
+        while not true() and not over:
+            self.reactor.turn()
+        return true()
+
+    def doubled(self) -> list[str]:
+        """Writes that ran more than once, or that were refused and ran."""
+        return [n for n, times in self.ran.items() if times > 1 or self.answered.get(n) in (408, 421, 429, 503)]
+
+
+def rules(version: int, names: list[str]) -> dict[str, object]:
+    """A call that sets these routes; `w...` are writes."""
+    made = [route(n, version, f"/{n}/", SERVICE) for n in names]
+    for rule in made:
+        rule["RouteKind"] = "writes" if rule["Name"].startswith("w") else "read_only"
+        rule["Then"]["MaxTries"] = 1 if rule["Name"].startswith("w") else 2
+    return put(made, first=version == 1)
--- /dev/null
+++ b/guild/asking.py
@@ -0,0 +1,43 @@
+"""Questions of operators to a running process: one connection, one answer, and no loop."""
+from __future__ import annotations
+
+import socket
+
+from lilacsill.address import parse_address
+
+from .frames import Frames, frame
+from .messages import BadMessage, Message, Status, Told, decode, encode
+
+TIMEOUT_S = 3.0
+
+
+class NoAnswer(Exception):
+    """The text tells who gave none, and why."""
+
+
+def ask(address: str, message: Message) -> Message:
+    """Raises NoAnswer."""
+    try:
+        to = parse_address(address)
+    except ValueError as e:
+        raise NoAnswer(str(e)) from None
+    frames = Frames()
+    try:
+        with socket.create_connection(to, TIMEOUT_S) as sock:
+            sock.sendall(frame(1, encode(message)))
+            while True:
+                data = sock.recv(1 << 16)
+                if not data:
+                    raise NoAnswer(f"{address}: closed the connection")
+                for _, payload in frames.feed(data):
+                    return decode(payload)
+    except (OSError, BadMessage) as e:
+        raise NoAnswer(f"{address}: {e}") from None
+
+
+def status(address: str) -> bytes:
+    """Of any of the three programs, as JSON. Raises NoAnswer."""
+    answer = ask(address, Status())
+    if not isinstance(answer, Told):
+        raise NoAnswer(f"{address}: answered something else")
+    return answer.text
--- a/porter/backend.py
+++ b/porter/backend.py
@@ -40,9 +40,6 @@
     def on_lost(self, why: str) -> None:
         """No (whole) answer will come; the request may have run."""
 
-    def on_written(self) -> None:
-        """All that was sent is taken."""
-
 
 def passed_on(message: Message) -> Headers:
     """The header lines that concern more than one connection."""
@@ -63,10 +60,11 @@
         self.user: User | None = None
         self.idle_until = 0
         self.reusable = True
+        self.uploading = False  # some of the request's body is still to be sent
 
     def begin(self, user: User, method: bytes, target: bytes, headers: Headers, body: bytes, length: int,
               whole: bool) -> None:
-        self.user = user
+        self.user, self.uploading = user, not whole
         if length >= 0 and (length or method != b"GET"):
             headers = [*headers, (b"Content-Length", b"%d" % length)]
         elif length < 0:
@@ -74,6 +72,14 @@
             body = (chunk(body) if body else b"") + (chunk(b"") if whole else b"")
         self.send(request_head(method, target, headers) + body)
 
+    def send_more(self, data: bytes, last: bool, chunked: bool) -> None:
+        """Of the body."""
+        if chunked:
+            data = (chunk(data) if data else b"") + (chunk(b"") if last else b"")
+        self.uploading = not last
+        if data:
+            self.send(data)
+
     def on_data(self, data: bytes) -> None:
         answers = self._reader.feed(data)
         for answer in answers:
@@ -113,11 +119,6 @@
                 return min(IDLE_US, int(int(value) * 1_000_000 * KEEP_PART))
         return IDLE_US
 
-    def flushed(self) -> None:
-        super().flushed()
-        if self.user is not None:
-            self.user.on_written()
-
     def on_fault(self) -> None:
         self._lose("failed here")
 
@@ -170,7 +171,7 @@
     def release(self, connection: BackendConnection) -> None:
         if connection in self._idle:
             return
-        if connection.open and connection.reusable and connection.written:
+        if connection.open and connection.reusable and connection.written and not connection.uploading:
             self._idle.append(connection)
             if self._sweep is None:
                 self._sweep = self._reactor.after(IDLE_US, self._swept)
--- a/porter/carry.py
+++ b/porter/carry.py
@@ -21,6 +21,7 @@
 from .table import Stand, Table
 from .ways import OwnWay, Way, Ways
 
+KEEP = 128 * 1024  # of a request's body
 TURNS = 6  # offers that are turned round before a request is refused
 OWN = frozenset((b"calling-service", b"meant-server", b"time-left-ms", b"expect"))
 PATIENCE_US = 60_000_000  # of a client that does not tell
@@ -74,8 +75,8 @@
         self._attempts += 1
         return self._attempts
 
-    def arrived(self, request: HttpMessage, client: Client) -> Carry | None:
-        """None: it has its answer."""
+    def arrived(self, request: HttpMessage, client: Client, whole: bool = True) -> Carry | None:
+        """None: it has its answer. Not `whole`: more of its body comes."""
         host = request.fields.get(b"host", b"").lower()
         host = host.partition(b":")[0]
         target = request.target
@@ -87,7 +88,7 @@
             else:
                 client.answer(503, [(b"Retry-After", b"0.2")], b"the configuration is not known\n")
             return None
-        carry = Carry(self, request, route, client)
+        carry = Carry(self, request, route, client, whole)
         self.in_hand.add(carry)
         carry.begin()
         return carry
@@ -96,7 +97,7 @@
 class Carry:
     """One request."""
 
-    def __init__(self, carrier: Carrier, request: HttpMessage, route: Route, client: Client) -> None:
+    def __init__(self, carrier: Carrier, request: HttpMessage, route: Route, client: Client, whole: bool) -> None:
         self._carrier, self._request, self._route, self._client = carrier, request, route, client
         self._service = route.service(carrier.rng)
         self._table = carrier.table(self._service)
@@ -108,7 +109,9 @@
         self._aim_at = now + route.aim_us
         self._headers = [line for line in passed_on(request) if line[0].lower() not in OWN]
         self._headers.append((b"Calling-Service", carrier.caller))
-        self._body = bytes(request.body)
+        self._body = request.take()  # what of it has come and is kept for another offer
+        self._whole = whole
+        self._kept = True  # all that has come
         self._arrivals = self._turned = 0
         self._tried: list[Stand] = []
         self._stand: Stand | None = None
@@ -129,19 +132,19 @@
         now = carrier.reactor.now()
         if self._until - now < LEAST_US:
             return self._give_up()
-        stand = self._table.pick(now, self._tried) if self._turned < TURNS else None
+        stand = self._table.pick(now, self._tried) if self._turned < TURNS and self._kept else None
         if stand is None:
             return self._give_up()
         self._stand, self._number = stand, carrier.attempt()
         self._table.sent(stand, self._number)
         request, route = self._request, self._route
-        length = len(self._body) if request.length is not None or self._body else 0
+        length = request.length or 0
         if request.length is None and b"transfer-encoding" in request.fields:
             length = -1
         offer = Offer(
             stand.stall.server, self._service, route.name, request.method, request.target, self._headers, self._body,
-            True, length, (self._until - now) // 1000, (self._aim_at - now) // 1000, route.rank, route.repeatable,
-            self._arrivals > 0)
+            self._whole, length, (self._until - now) // 1000, (self._aim_at - now) // 1000, route.rank,
+            route.repeatable, self._arrivals > 0)
         if stand.stall.node == carrier.node:
             self._way = OwnWay(carrier.reactor, carrier.counter, offer, self)
         else:
@@ -198,8 +201,20 @@
         self._tried.append(stand)
         self._repeat()
 
-    def relieved(self) -> None:
-        pass
+    def more(self, data: bytes, last: bool) -> None:
+        """Of the request's body. A long one is not kept, and is offered once."""
+        self._whole = last
+        if self._kept and len(self._body) + len(data) <= KEEP:
+            self._body += data
+        else:
+            self._kept, self._body = False, b""
+        if self._way is not None:
+            self._way.piece(Piece(data, last))
+
+    @property
+    def unsent(self) -> int:
+        """Bytes of the body that have not gone on."""
+        return self._way.unsent if self._way is not None else 0
 
     def client_relieved(self) -> None:
         if self._way is not None:
@@ -244,7 +259,7 @@
     def _may_repeat(self) -> bool:
         now = self._carrier.reactor.now()
         return (self._arrivals < self._route.tries and self._until - now > LEAST_US
-                and self._carrier.budget(self._service).spend(now, self._carrier.porters))
+                and self._kept and self._carrier.budget(self._service).spend(now, self._carrier.porters))
 
     # The end
 
--- a/porter/far.py
+++ b/porter/far.py
@@ -11,11 +11,10 @@
 
 from guild.calls import Listener
 from guild.link import Link
-from guild.messages import Answer, Broken, Headers, Message, Offer, Piece, Turned, Withdraw
+from guild.messages import Answer, Broken, Headers, Message, Offer, Piece, Status, Told, Turned, Withdraw
 from guild.reactor import Reactor
 from lilacsill.address import Address
 from lilacsill.http1.message import Message as HttpMessage
-from lilacsill.http1.message import chunk
 
 from .backend import BackendConnection, Pool, passed_on
 from .gate import Gate, Ticket
@@ -23,6 +22,7 @@
 
 PILE = 256 * 1024  # not taken by the next on the way: the one before is made to wait
 LOOK_US = 20_000
+RESUME_US = 5_000  # a body that is held up is looked at so often
 ANSWER_MARGIN_US = 30_000  # a backend's own 504 is given this long to come
 
 
@@ -41,6 +41,7 @@
         self.gate = Gate()
         self.pool = Pool(reactor, app)
         self.carried: set[Carriage] = set()
+        self.status: Callable[[], bytes] = lambda: b"{}"  # for operators who ask
         self._looking = False
 
     def now(self) -> int:
@@ -98,24 +99,19 @@
 
     # From the one who offered
 
-    def piece(self, piece: Piece) -> int:
-        """More of the body. Returns how much is not taken."""
+    def piece(self, piece: Piece) -> None:
+        """More of the body."""
         if self.over:
-            return 0
+            return
         if self._connection is None:
             self._pieces.append(piece)
-            return sum(len(p.data) for p in self._pieces)
-        return self._send_piece(piece)
+        elif self._connection.open:
+            self._connection.send_more(piece.data, piece.last, self._offer.length < 0)
 
-    def _send_piece(self, piece: Piece) -> int:
-        connection = self._connection
-        if connection is None or not connection.open:
-            return 0
-        if self._offer.length < 0:
-            connection.send((chunk(piece.data) if piece.data else b"") + (chunk(b"") if piece.last else b""))
-        elif piece.data:
-            connection.send(piece.data)
-        return connection.unsent
+    @property
+    def unsent(self) -> int:
+        """Bytes of the body that the backend has not taken."""
+        return sum(len(p.data) for p in self._pieces) + (self._connection.unsent if self._connection else 0)
 
     def withdraw(self) -> None:
         """Give it back if it has not begun."""
@@ -174,7 +170,7 @@
         connection.begin(self, offer.method, offer.target, headers, offer.body, offer.length, offer.whole)
         pieces, self._pieces = self._pieces, []
         for piece in pieces:
-            self._send_piece(piece)
+            self.piece(piece)
 
     def _late(self) -> None:
         if not self.over:
@@ -220,9 +216,6 @@
     def relieved(self) -> None:
         self.hold(False)
 
-    def on_written(self) -> None:
-        pass
-
     def on_lost(self, why: str) -> None:
         if self.over:
             return
@@ -287,9 +280,13 @@
             if self._carriage is not None and self._carriage.over:
                 self._carriage = None
         elif isinstance(message, Piece):
-            if self._carriage is not None and self._carriage.piece(message) > PILE:
-                link.stream.pause()
-                self._counter.after(5_000, self._resume)
+            if self._carriage is not None:
+                self._carriage.piece(message)
+                if self._carriage.unsent > PILE:
+                    link.stream.pause()
+                    self._counter.after(RESUME_US, self._resume)
+        elif isinstance(message, Status):
+            link.send(Told(self._counter.status()), number)
         elif isinstance(message, Withdraw):
             if self._carriage is not None:
                 self._carriage.withdraw()
@@ -297,7 +294,9 @@
             link.close()
 
     def _resume(self) -> None:
-        if self.link.open:
+        if self._carriage is not None and self._carriage.unsent > PILE // 2:
+            self._counter.after(RESUME_US, self._resume)
+        elif self.link.open:
             self.link.stream.resume()
 
     def _flushed(self) -> None:
--- a/porter/inbound.py
+++ b/porter/inbound.py
@@ -17,6 +17,8 @@
 
 AHEAD = 16  # requests in hand on one connection
 PILE = 128 * 1024
+EARLY = 64 * 1024  # a longer body is passed on while it comes
+RESUME_US = 5_000
 LOOK_US = 500_000
 LINGER_US = 1_000_000
 WORDS = {**REASONS, 202: "Accepted", 204: "No Content", 206: "Partial Content", 304: "Not Modified",
@@ -79,6 +81,7 @@
         self._reader = Reader(HttpRequestParser, clients.body_limit, keep_lines=True)
         self._turns: deque[Turn] = deque()
         self._ahead: deque[Message] = deque()
+        self._upload: Turn | None = None  # whose body still comes
         self._ending = False  # an answer that closes is due or sent; what came behind it was not read
         self.quiet_since = clients.reactor.now()
         self.began_at = 0  # of a request whose head is not whole
@@ -88,13 +91,58 @@
         return not self._turns and not self._ahead and self._reader.current is None
 
     def on_data(self, data: bytes) -> None:
-        self._ahead += self._reader.feed(data)
+        whole = self._reader.feed(data)
+        if self._upload is not None:
+            whole = self._go_on(self._upload, whole)
+        self._ahead += whole
         self.quiet_since = self._clients.reactor.now()
-        if self._reader.current is not None and not self.began_at:
-            self.began_at = self.quiet_since
-        elif self._reader.current is None:
+        if self._reader.current is None or self._reader.in_body:
             self.began_at = 0
+        elif not self.began_at:
+            self.began_at = self.quiet_since
         self._take()
+        current = self._reader.current
+        if (current is not None and self._reader.in_body and current.received > EARLY and self._upload is None
+                and not self._ahead and len(self._turns) < AHEAD and not self._ending):
+            self._begin_early(current)
+
+    # A long body
+
+    def _begin_early(self, request: Message) -> None:
+        """It is passed on while it comes."""
+        request.target = origin_form(request.target)
+        turn = Turn(self, request)
+        self._turns.append(turn)
+        self._ending = not request.keep_alive
+        turn.carry = self._clients.carrier.arrived(request, turn, whole=False)
+        self._upload = turn
+
+    def _go_on(self, turn: Turn, whole: list[Message]) -> list[Message]:
+        request, ended = turn.request, bool(whole) and whole[0] is turn.request
+        if turn.carry is not None and not turn.carry.over:
+            turn.carry.more(request.take(), ended)
+            if turn.carry.unsent > PILE and self.stream is not None:
+                self.stream.pause()
+                self._clients.reactor.after(RESUME_US, self._resume)
+        else:
+            request.take()
+        if self._reader.error is not None and not ended:
+            self._upload = None
+            self._ending = True
+            if turn.carry is not None:
+                turn.carry.client_gone()
+            if not turn.done and turn in self._turns:
+                turn.answer(self._reader.error.status, [], b"")
+        if not ended:
+            return whole
+        self._upload = None
+        return whole[1:]
+
+    def _resume(self) -> None:
+        if self._upload is not None and self._upload.carry is not None and self._upload.carry.unsent > PILE // 2:
+            self._clients.reactor.after(RESUME_US, self._resume)
+        elif self.stream is not None:
+            self.stream.resume()
 
     def _take(self) -> None:
         while self._ahead and len(self._turns) < AHEAD and not self._ending and not self.closed:
@@ -108,7 +156,7 @@
         if self.stream is not None:
             if len(self._ahead) > AHEAD:
                 self.stream.pause()
-            else:
+            elif self._upload is None:
                 self.stream.resume()
         error = self._reader.error
         if error is not None and not self._ahead and not self._ending and not self.closed:
--- a/porter/process.py
+++ b/porter/process.py
@@ -50,6 +50,7 @@
         self._leaving_since = 0
         self._probing = False
         self._news.on_news = self._look_at_backend
+        self._counter.status = self._status
         reactor.on_signal(signal.SIGTERM, self._terminated)
         reactor.on_signal(signal.SIGHUP, self._settings_changed)
         self._news.start()
@@ -106,6 +107,21 @@
             log.info("the backend is %s", server)
             self._news.changed()
 
+    def _status(self) -> bytes:
+        now, life, gate = self._reactor.now(), self._life, self._counter.gate
+        return msgspec.json.encode({
+            "node": self._settings.node, "book": self._carrier.routes.seq, "sure": self._news.sure(),
+            "leaving": bool(self._leaving_since), "in_hand": len(self._carrier.in_hand),
+            "backend": {"server": life.server, "service": life.service, "state": life.state, "slots": life.slots,
+                        "running": gate.running, "load": gate.load()},
+            "tables": {service: [{"node": s.stall.node, "server": s.stall.server, "state": s.stall.state,
+                                  "held": s.held, "own": len(s.since), "pace_ms": s.pace_ms,
+                                  "heard_ms": (now - s.heard_at) // 1000 if s.heard_at else None,
+                                  "out_ms": max(0, s.out_until - now) // 1000}
+                                 for s in table.stands.values()]
+                       for service, table in self._carrier.tables.items()},
+            "log": log.tail()})
+
     # The way out
 
     def _settings_changed(self) -> None:
@@ -169,6 +185,3 @@
 
     def on_lost(self, why: str) -> None:
         self._done("", 0)
-
-    def on_written(self) -> None:
-        pass
--- a/porter/ways.py
+++ b/porter/ways.py
@@ -26,14 +26,15 @@
     def severed(self) -> None:
         """The link broke after the offer: it may have run."""
 
-    def relieved(self) -> None:
-        """What was sent is taken."""
-
 
 class Way(Protocol):
     """One exchange."""
 
-    def piece(self, piece: Piece) -> int: ...
+    def piece(self, piece: Piece) -> None: ...
+
+    @property
+    def unsent(self) -> int:
+        """Bytes of the body that have not gone on."""
 
     def withdraw(self) -> None: ...
 
@@ -59,8 +60,13 @@
         if self._hearer is not None:
             self._hearer.told(message)
 
-    def piece(self, piece: Piece) -> int:
-        return self._carriage.piece(piece) if self._carriage is not None else 0
+    def piece(self, piece: Piece) -> None:
+        if self._carriage is not None:
+            self._carriage.piece(piece)
+
+    @property
+    def unsent(self) -> int:
+        return self._carriage.unsent if self._carriage is not None else 0
 
     def withdraw(self) -> None:
         if self._carriage is not None:
@@ -84,10 +90,11 @@
         self._hearer: Hearer | None = hearer
         self._link: Link | None = None
         self._pieces: list[Piece] = []
+        self._sent_whole = offer.whole
 
     def begin(self, link: Link) -> None:
         self._link = link
-        link.on_message, link.on_closed, link.on_flushed = self._message, self._closed, self._flushed
+        link.on_message, link.on_closed = self._message, self._closed
         link.send(self._offer)
         for piece in self._pieces:
             link.send(piece)
@@ -111,7 +118,7 @@
             self._hearer = None
             self._link = None
             # A body that was not sent to its end would be taken for the next offer's.
-            if self._offer.whole:
+            if self._sent_whole:
                 self._ways.give_back(self.address, link)
             else:
                 link.close()
@@ -122,16 +129,16 @@
         if hearer is not None:
             hearer.severed()
 
-    def _flushed(self) -> None:
-        if self._hearer is not None:
-            self._hearer.relieved()
+    def piece(self, piece: Piece) -> None:
+        self._sent_whole = self._sent_whole or piece.last
+        if self._link is not None and self._link.open:
+            self._link.send(piece)
+        elif self._link is None and self._hearer is not None:
+            self._pieces.append(piece)
 
-    def piece(self, piece: Piece) -> int:
-        if self._link is None:
-            if self._hearer is not None:
-                self._pieces.append(piece)
-            return sum(len(p.data) for p in self._pieces)
-        return self._link.send(piece) if self._link.open else 0
+    @property
+    def unsent(self) -> int:
+        return sum(len(p.data) for p in self._pieces) + (self._link.stream.unsent if self._link is not None else 0)
 
     def withdraw(self) -> None:
         if self._link is not None and self._link.open:
@@ -198,7 +205,7 @@
         def message(link: Link, number: int, message: Message) -> None:
             link.close()
 
-        link.on_message, link.on_closed, link.on_flushed = message, closed, None
+        link.on_message, link.on_closed = message, closed
         idle.append(link)
 
     def forget(self, keep: set[Address]) -> None:
--- a/tests/mesh/exchanges.feature
+++ b/tests/mesh/exchanges.feature
@@ -166,3 +166,33 @@
     When the client sends: GET /reads/a
     Then the client gets: 200
     And the connection is closed in order
+
+  Scenario Outline: A long body is passed on while it comes
+    Given the backends one two
+    And backend one counts
+    And the first choice is one
+    When the client sends a body of 900000 bytes <how> to /writes/a
+    Then the client gets: 200
+    And the bodies are: 900000
+
+    Examples:
+      | how         |
+      | by length   |
+      | in chunks   |
+
+  Scenario: A long body whose first offer is turned round goes elsewhere while it is kept
+    Given the backends one two
+    And one has not heard its backend
+    And backend two counts
+    And the first choice is one
+    When the client sends a body of 100000 bytes by length to /writes/a
+    Then the client gets: 200
+    And the bodies are: 100000
+
+  Scenario: A slow reader holds up its own answer only
+    Given the backends one
+    And backend one answers without end, answers
+    When a client that does not read sends: GET /reads/a
+    And the client sends: GET /reads/b
+    Then the client gets: 200
+    And less than 8 MB are held for the slow one
--- a/tests/mesh/stage.py
+++ b/tests/mesh/stage.py
@@ -103,6 +103,12 @@
         self._backend.ran.pop()
         self.send(answer(request, b"", b"503 Service Unavailable", b"Not-Run: 1\r\n"))
 
+    def _counts(self, request: Message) -> None:
+        self.send(answer(request, b"%d" % len(request.body)))
+
+    def _answers_without_end(self, request: Message) -> None:
+        self.send(answer(request, b"z" * 60_000_000))
+
     def _fails(self, request: Message) -> None:
         self.send(answer(request, b"sorry", b"500 Internal Server Error"))
 
@@ -118,6 +124,7 @@
         self._reader = Reader(HttpResponseParser, 1 << 24, keep_lines=True)
         self.answers: list[Message] = []
         self.over = self.cut = False
+        self.reads = True
 
     def on_data(self, data: bytes) -> None:
         self.answers += self._reader.feed(data)
--- a/tests/mesh/test_exchanges.py
+++ b/tests/mesh/test_exchanges.py
@@ -19,6 +19,7 @@
     def __init__(self, stage: Stage) -> None:
         self.stage = stage
         self.client: Client | None = None
+        self.slow: Client | None = None
         self.sent = 0
 
     @property
@@ -108,6 +109,25 @@
     _send(play, text.replace("|", "\r\n").encode() + (b"" if text.endswith("||") else b"\r\n"))
 
 
+@when(parsers.parse("the client sends a body of {count:d} bytes {how} to {path}"))
+def _sends_body(play: Play, count: int, how: str, path: str) -> None:
+    body = b"b" * count
+    if how == "by length":
+        return _send(play, request("POST", path, 1, body))
+    pieces = b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in (body[i:i + 50_000] for i in range(0, count, 50_000)))
+    _send(play, request("POST", path, 1, more="Transfer-Encoding: chunked\r\n") + pieces + b"0\r\n\r\n")
+
+
+@when(parsers.parse("a client that does not read sends: {text}"))
+def _sends_and_stands_still(play: Play, text: str) -> None:
+    method, path = words(text)
+    slow = play.slow = play.stage.client(request(method, path, 99, left_ms=60_000))
+    assert slow.stream is not None
+    slow.stream.pause()
+    backend = next(iter(play.stage.backends.values()))
+    play.stage.until(lambda: len(backend.ran) == 1, "the request has come")
+
+
 @when("the client leaves")
 def _client_leaves(play: Play) -> None:
     backend = next(iter(play.stage.backends.values()))
@@ -166,6 +186,17 @@
     assert 0 < float(play.it.answers[0].header(b"retry-after") or 0) < 0.5
 
 
+@then(parsers.parse("less than {count:d} MB are held for the slow one"))
+def _held(play: Play, count: int) -> None:
+    for _ in range(20):
+        play.stage.settle()
+    held = sum(c.unsent + sum(len(t.out) for t in c._turns) for c in play.stage.clients.connections)
+    held += sum(s.link.stream.unsent for d in play.stage.doors.values() for s in d.sinks)
+    held += sum(c._reader.current.received for n in play.stage.counters.values() for c in n.pool.open
+                if c._reader.current is not None and c._reader.current.body)
+    assert held < count << 20, held
+
+
 @then("nothing is in hand")
 def _nothing(play: Play) -> None:
     counters = play.stage.counters.values()
--- /dev/null
+++ b/tests/mesh/test_loopback.py
@@ -0,0 +1,41 @@
+"""Real processes on loopback: they find one another, take a configuration, serve, and outlive a core machine."""
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+
+from fairground.loopback import INTERNAL, Fair, rules
+
+PATIENCE_S = 20.0  # a slow machine is given time; a quick one needs two seconds
+
+
+def test_a_mesh_of_processes_serves_and_mends() -> None:
+    with Fair(cores=3, sidecars=2) as fair:
+        statuses: list[int] = []
+        fair.operate(rules(1, ["reads", "writes"]), statuses.append)
+        assert fair.until(lambda: statuses == [200], PATIENCE_S)
+        until = fair.reactor.now() + int(2 * PATIENCE_S * 1e6)
+        for ip in fair.sidecars:
+            fair.client(ip, b"/reads/a", b"GET", until)
+            fair.client(ip, b"/writes/a", b"POST", until)
+        assert fair.until(lambda: fair.served["served"] > 50, PATIENCE_S), fair.served
+        fair.kill_core(fair.cores[0])
+        fair.operate(rules(2, ["more"]), statuses.append)
+        assert fair.until(lambda: statuses == [200, 200], PATIENCE_S)
+        before = fair.served.copy()
+        assert fair.until(lambda: (fair.served - before)["served"] > 50, PATIENCE_S)
+        assert not (fair.served - before)["failed"]
+        # Operators ask the processes themselves.
+        for program, port, ip in (("weighhouse", INTERNAL[0] + 1, fair.cores[1]), ("crier", INTERNAL[0], fair.cores[1]),
+                                  ("porter", INTERNAL[0], fair.sidecars[0])):
+            told = subprocess.run([sys.executable, "-m", program, "status", f"{ip}:{port}"], capture_output=True,
+                                  check=True)
+            assert json.loads(told.stdout)["sure"] is True
+        history = subprocess.run([sys.executable, "-m", "weighhouse", "history", f"{fair.cores[1]}:{INTERNAL[0] + 1}",
+                                  "--name=more"], capture_output=True, check=True)
+        assert b"r2" in history.stdout and b"/more/" in history.stdout
+        # One that leaves in order ends what it holds, and says so with its status.
+        leaving = fair.terminate("porter", fair.sidecars[1])
+        assert fair.until(lambda: leaving.poll() is not None, PATIENCE_S) and leaving.returncode == 0
+        assert not fair.doubled()
--- /dev/null
+++ b/weighhouse/commands.py
@@ -0,0 +1,71 @@
+"""Commands of the store."""
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from returns.result import Failure
+
+from guild.asking import NoAnswer, ask, status
+from guild.commands import Commands, Refused
+from guild.messages import Book as BookNews
+from guild.messages import Follow, Read, Reply
+
+from . import call
+from .book import Book
+
+
+class Store(Commands):
+    """python -m weighhouse COMMAND"""
+
+    def check(self, path: str, against: str = "") -> None:
+        """Check a call (a JSON file as an operator would send it), alone or against the book --against HOST:PORT."""
+        book = Book()
+        if against:
+            answer = ask(against, Follow(0, 0, 0))
+            if not isinstance(answer, BookNews) or not answer.sure:
+                raise NoAnswer(f"{against}: is not sure of its book")
+            book.apply(answer.items, answer.seq)
+        try:
+            read = call.read(Path(path).read_bytes())
+        except OSError as e:
+            raise Refused(f"{path}: {e.strerror}") from None
+        changed = read.bind(lambda changes: call.against(book, changes))
+        if isinstance(changed, Failure):
+            raise Refused(f"{path}: {changed.failure()}")
+        for item in changed.unwrap():
+            print(f"{'drops' if item.body is None else 'sets'} {item.kind} {item.name} r{item.version}")
+
+    def export(self, address: str) -> None:
+        """Print the newest configuration, whole, as the tail of the chain has it."""
+        answer = ask(address, Read(0))
+        if not isinstance(answer, Reply) or answer.status != 200:
+            raise NoAnswer(f"{address}: no answer that is sure")
+        print(answer.body.decode())
+
+    def history(self, address: str, name: str = "") -> None:
+        """Print the items, dropped ones too, in the order of their last change; of one name where it is given."""
+        answer = ask(address, Follow(0, 0, 0))
+        if not isinstance(answer, BookNews) or not answer.sure:
+            raise NoAnswer(f"{address}: is not sure of its book")
+        for item in sorted(answer.items, key=lambda i: i.seq):
+            if name in ("", item.name):
+                print(f"{item.seq:6} r{item.version:<6} {item.kind:8} {item.name or '-':24} "
+                      f"{'dropped' if item.body is None else item.body.decode()}")
+
+    def verify(self, address: str) -> None:
+        """Ask every machine of the chain; 1 where they do not stand together."""
+        told = json.loads(status(address))
+        wrong = []
+        for member in told["members"]:
+            try:
+                one = json.loads(status(member))
+            except NoAnswer as e:
+                wrong.append(str(e))
+                continue
+            print(f"{member} view {one['view']} seq {one['seq']} committed {one['committed']} "
+                  f"{'synced' if one['synced'] else 'not synced'}{' sure' if one['sure'] else ''}")
+            if one["view"] != told["view"] or not one["synced"]:
+                wrong.append(f"{member}: view {one['view']}, {'synced' if one['synced'] else 'not synced'}")
+        if wrong:
+            raise Refused("; ".join(wrong))
