--- /dev/null
+++ b/tests/mesh/test_decisions.py
@@ -0,0 +1,172 @@
+"""What porters and criers decide, without I/O: the choice, the gate, budgets, lives, the board."""
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from crier.board import SILENT_US, Board
+from guild.hashing import chosen
+from guild.messages import Load, Stall
+from porter.budget import Budget
+from porter.gate import Gate, Ticket
+from porter.life import Beat, Life
+from porter.table import Table
+
+MS, S = 1_000, 1_000_000
+
+
+def stall(node: str, server: str = "", state: str = "ready", life: int = 1, count: int = 1) -> Stall:
+    return Stall(node, life, count, "h", 1, "z", "s", server or f"i-{node}", state, 10, 0)
+
+
+def table(n: int) -> Table:
+    made = Table(Random(7))
+    for i in range(n):
+        made.told(stall(f"n{i}"), S)
+    return made
+
+
+# The choice
+
+
+def test_two_uniform_samples_prefer_the_lower_band_and_tie_at_random() -> None:
+    made = table(8)
+    for i, stand in enumerate(made.stands.values()):
+        made.sent(stand, i)
+        made.ended(stand, i, Load(8 if i < 4 else 0, 10, 100.0, 0.0), S)
+    picks = Counter(s.stall.node for s in (made.pick(S, []) for _ in range(8000)) if s is not None)
+    heavy = sum(picks[f"n{i}"] for i in range(4))
+    # Both samples heavy: a quarter. Each of the light ones is as likely as the others.
+    assert 0.22 < heavy / 8000 < 0.28
+    assert max(picks[f"n{i}"] for i in range(4, 8)) < 1.4 * min(picks[f"n{i}"] for i in range(4, 8))
+
+
+def test_own_attempts_count_until_the_next_report_counts_them() -> None:
+    made = table(2)
+    stand = made.stands["n0"]
+    for attempt in range(6):
+        made.sent(stand, attempt)
+    picks = Counter(s.stall.node for s in (made.pick(S, []) for _ in range(2000)) if s is not None)
+    assert picks["n0"] < 0.35 * 2000
+    made.ended(stand, 0, Load(0, 10, 0.0, 0.0), S)
+    assert not stand.since and stand.held == 0
+
+
+def test_late_reports_fade_and_the_unheard_enter_at_the_mean() -> None:
+    made = table(3)
+    made.ended(made.stands["n0"], 0, Load(9, 10, 0.0, 0.0), S)
+    made.ended(made.stands["n1"], 1, Load(1, 10, 0.0, 0.0), S)
+    made._look(S + 100 * S)
+    loads = [s.load for s in made.stands.values()]
+    assert max(loads) - min(loads) < 0.11  # all at the mean, but for chance
+
+
+def test_drains_ends_and_the_unreachable_are_left_out() -> None:
+    made = table(3)
+    made.told(stall("n0", state="draining", count=2), S)
+    made.gone("n1")
+    assert {s.stall.node for s in (made.pick(S, []) for _ in range(50)) if s is not None} == {"n2"}
+    made.told(stall("n1"), S)
+    made.unreachable(made.stands["n2"], S)
+    assert {s.stall.node for s in (made.pick(S, []) for _ in range(50)) if s is not None} == {"n1"}
+    made.told(stall("n2", life=2), S)  # its porter is back
+    assert made.stands["n2"].out_until == 0
+
+
+# The gate
+
+
+def test_the_gate_keeps_its_slots_and_turns_round_what_would_wait_too_long() -> None:
+    gate, begun, turned = Gate(), list[str](), list[str]()
+    gate.slots, gate.pace_ms = 2, 100.0
+
+    def ticket(name: str, rank: int = 1, until: int = S) -> Ticket:
+        return Ticket(rank, until, "r", lambda: begun.append(name), lambda why: turned.append(f"{name} {why}"))
+
+    first = ticket("a")
+    assert gate.offer(first, 0) == "" and gate.offer(ticket("b"), 0) == ""
+    assert gate.offer(ticket("late", until=10 * MS), 0) == "full"
+    low, high = ticket("low", rank=2), ticket("high", rank=0)
+    assert gate.offer(low, 0) == "" and gate.offer(high, 0) == ""
+    assert begun == ["a", "b"] and gate.load().held == 4
+    gate.ended(first, 100 * MS, timed=True)
+    assert begun == ["a", "b", "high"]
+    assert gate.withdraw(low) and not gate.withdraw(high) and gate.load().held == 2
+    waits = ticket("waits", until=300 * MS)
+    assert gate.offer(waits, 100 * MS) == ""
+    gate.look(400 * MS)
+    assert turned == ["waits full"] and gate.load().held == 2
+    gate.ended(high, 500 * MS, timed=True)
+    gate.ended(high, 500 * MS, timed=True)  # a second end changes nothing
+    assert gate.running == 1
+
+
+# The budget
+
+
+def test_repeats_of_all_porters_stay_in_the_bound() -> None:
+    rng = Random(3)
+    for porters in (1, 5, 40):
+        budgets = [Budget(0.2, 10 * S, 60) for _ in range(porters)]
+        asked: list[int] = []
+        spent: list[int] = []
+        now = 0
+        for _ in range(20_000):
+            now += rng.randrange(4 * MS)
+            budget = rng.choice(budgets)
+            budget.asked(now)
+            asked.append(now)
+            if budget.spend(now, porters):
+                spent.append(now)
+        for end in range(10 * S, now, S):
+            inside = [t for t in spent if end - 10 * S < t <= end]
+            assert len(inside) <= 0.2 * sum(end - 10 * S < t <= end for t in asked) + 60
+        assert len(spent) > 0.05 * len(asked)
+
+
+# The life of a backend
+
+
+def test_a_drain_is_kept_and_late_beats_change_nothing() -> None:
+    life = Life(2 * S)
+    assert life.turns("i", 0) == "life"
+    assert life.beat(Beat("i", "s", 4, False, 1, 0), 0) and life.turns("i", 0) == ""
+    assert life.beat(Beat("i", "s", 4, True, 3, 0), S)
+    assert not life.beat(Beat("i", "s", 4, False, 2, 0), S)  # late: from before the drain
+    assert life.turns("i", S) == "draining"
+    assert life.turns("i", S + 900 * MS, waiting=True) == "" and life.turns("i", S + 1100 * MS, waiting=True)
+    assert life.left("i", 3 * S) and life.turns("i", 3 * S) == "life"
+    assert not life.beat(Beat("i", "s", 4, False, 9, 0), 4 * S)  # that life is over
+    assert life.beat(Beat("j", "s", 4, False, 1, 0), 4 * S) and life.turns("i", 4 * S) == "life"
+
+
+# The board
+
+
+def test_the_board_tells_changes_and_finds_the_silent() -> None:
+    board = Board()
+    assert board.heard(stall("a"), 0) and not board.heard(stall("a"), S)
+    version = board.version
+    assert board.heard(stall("a", state="draining", count=2), S) and board.since(version)[0][0].state == "draining"
+    assert not board.heard(stall("a", count=1), S)  # late
+    assert board.heard(stall("a", life=2), 2 * S)  # another life of the porter
+    assert not board.heard(stall("a", life=1, count=9), 2 * S, itself=False)
+    board.alive(["a"], 4 * S)
+    assert not board.look(4 * S + SILENT_US - 1)
+    board.silent_since = 6 * S  # this crier was cut off: others' silence was its own
+    assert not board.look(5 * S + SILENT_US)
+    assert board.look(7 * S + SILENT_US) and board.since(version)[1] == ["a"]
+    assert board.heard(stall("a", life=2, count=1), 30 * S)
+
+
+# Who knows whom
+
+
+def test_rendezvous_spreads_and_moves_only_what_it_must() -> None:
+    criers = [f"10.0.{i}.1:7660" for i in range(5)]
+    nodes = [f"sidecar-{i}" for i in range(400)]
+    first = {n: chosen(n, criers, 2) for n in nodes}
+    load = Counter(c for two in first.values() for c in two)
+    assert max(load.values()) < 1.35 * min(load.values())
+    fewer = {n: chosen(n, criers[1:], 2) for n in nodes}
+    assert all(set(first[n]) - {criers[0]} <= set(fewer[n]) for n in nodes)
