--- /dev/null
+++ b/benchmarks/chain.py
@@ -0,0 +1,108 @@
+"""The chain in virtual time: what an acknowledgement costs, what calls that go together gain, how long a loss is felt.
+
+    python -m benchmarks.chain [--quick]
+
+Control: one call at a time, each waiting for the one before, as a store without group commit would have it.
+"""
+from __future__ import annotations
+
+import argparse
+import json
+from statistics import median
+
+from fairground.core import Fleet, Operator, put, route
+from fairground.world import MS, S
+
+SYNC_US, HOP_US = 5 * MS, 750  # a sync takes 5 to 10 ms, a hop 0.5 to 1 ms
+ACK_WITHIN_MS = 4000
+LOSSES = ("head", "middle", "tail", "one_way", "stall", "freeze")
+
+
+def fleet_of(seed: int, cores: int = 3, lost: int = 1) -> tuple[Fleet, Operator]:
+    fleet = Fleet(seed, cores, lost, sync_us=SYNC_US)
+    operator = Operator(fleet, "a")
+    done: list[int] = []
+    operator.call(put([route("r", 1, "/r/")], first=True), done.append)
+    time = fleet.net.time
+    time.run(time.now + 3 * S)
+    assert done == [200]
+    return fleet, operator
+
+
+def latency(seed: int, calls: int) -> float:
+    """Median milliseconds of a call on a healthy chain, asked at any machine."""
+    fleet, operator = fleet_of(seed)
+    time, took = fleet.net.time, list[int]()
+    for version in range(2, calls + 2):
+        began, done = time.now, list[int]()
+        operator.call(put([route("r", version, "/r/")]), done.append)
+        while not done:
+            time.run(time.now + MS // 4)
+        took.append(time.now - began)
+    return median(took) / MS
+
+
+def rate(seed: int, at_once: int, seconds: int) -> float:
+    """Calls a second, with so many operators that each send the next call when the last is acknowledged."""
+    fleet, _ = fleet_of(seed)
+    time = fleet.net.time
+    acked = 0
+    until = time.now + seconds * S
+
+    def again(operator: Operator, name: str, version: int) -> None:
+        if time.now < until:
+            operator.call(put([route(name, version, f"/{name}/")]), lambda status: taken(operator, name, version))
+
+    def taken(operator: Operator, name: str, version: int) -> None:
+        nonlocal acked
+        acked += 1
+        again(operator, name, version + 1)
+
+    for i in range(at_once):
+        again(Operator(fleet, f"o{i}"), f"route{i}", 2)
+    time.run(until + S)
+    return acked / seconds
+
+
+def felt(seed: int, loss: str) -> float:
+    """Milliseconds from the loss to the acknowledgement of a call that is sent right after it."""
+    fleet, operator = fleet_of(seed)
+    time, net = fleet.net.time, fleet.net
+    members = [m.address for m in next(iter(fleet.stores.values())).core.view.members]
+    place = {"head": 0, "middle": 1, "tail": 2}.get(loss, seed % 3)
+    machine = net.machines[members[place]]
+    if loss == "one_way":
+        net.cut({members[place]}, set(members) - {members[place]}, one_way=True)
+    elif loss == "stall":
+        machine.disk.stall(20 * S)
+    elif loss == "freeze":
+        machine.frozen_until = time.now + 20 * S
+    else:
+        machine.end(power=True)
+    began, done = time.now, list[int]()
+    operator.call(put([route("r", 2, "/r/")]), lambda status: done.append(time.now))
+    time.run(time.now + 15 * S)
+    return (done[0] - began) / MS if done else float("inf")
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--quick", action="store_true", help="fewer seeds; under a minute")
+    seeds = 8 if parser.parse_args().quick else 60
+    calm = median(latency(seed, 20) for seed in range(seeds // 4))
+    sync_ms, hop_ms = 1.5 * SYNC_US / MS, HOP_US / MS
+    print(f"an acknowledgement: {calm:.1f} ms; three syncs and six hops are {3 * sync_ms + 6 * hop_ms:.1f} ms")
+    one, many = rate(1, 1, 4), rate(1, 40, 4)
+    print(f"calls a second: {one:.0f} one by one, {many:.0f} of 40 operators, {many / one:.1f} times the control")
+    print(f"{'lost':10} {'median ms':>10} {'longest ms':>11} {'of AckWithinMs':>15}")
+    lost = {}
+    for loss in LOSSES:
+        times = [felt(seed, loss) for seed in range(seeds)]
+        lost[loss] = {"median_ms": round(median(times)), "longest_ms": round(max(times))}
+        print(f"{loss:10} {median(times):10.0f} {max(times):11.0f} {median(times) / ACK_WITHIN_MS:15.2f}")
+    print(json.dumps({"ack_ms": round(calm, 1), "rate_control": one, "rate": many, "ratio": round(many / one, 2),
+                      "lost": lost, "seeds": seeds}))
+
+
+if __name__ == "__main__":
+    main()
--- a/fairground/core.py
+++ b/fairground/core.py
@@ -81,13 +81,14 @@
     def call(self, body: dict[str, Any], done: Callable[[int], None] = lambda status: None) -> None:
         """Until a clear answer comes."""
         data = msgspec.json.encode(body)
+        last = ""
 
         def send() -> None:
-            up = self.fleet.up()
-            up = [a for a in up if a in self.fleet.stores]
+            nonlocal last
+            up = [a for a in self.fleet.up() if a in self.fleet.stores]
             if not up:
                 return self.net.time.after(200 * MS, send)
-            to = self.fleet.rng.choice(up)
+            to = last = self.fleet.rng.choice([a for a in up if a != last] or up)  # callers move on
             self.machine.ask(to, Patch(data, 0), CALL_US, lambda m: answered(to, m))
 
         def answered(to: str, m: Message | None) -> None:
--- a/weighhouse/watch.py
+++ b/weighhouse/watch.py
@@ -89,7 +89,9 @@
 
     def _hello(self) -> Hello:
         core = self._core
-        return Hello(core.me, core.view, core.book.seq, core.blocked, core.leaving, self._chain.synced, self.peers())
+        # A machine whose disk stands still holds up the chain, and asks to be left out of it.
+        return Hello(core.me, core.view, core.book.seq, core.blocked, core.leaving or self._stuck(),
+                     self._chain.synced, self.peers())
 
     def _stuck(self) -> bool:
         return self._world.disk_waits_us() > STUCK_US
@@ -100,17 +102,15 @@
             self._since = now
         self._beat_at = now
         self._world.after(BEAT_US, self._beat)
-        if not self._stuck():  # a machine whose disk stands still is as good as gone, and says so by silence
-            hello = self._hello()
-            for address in {*self._seeds, *self.peers()} - {self._core.me.address} - self._asked:
-                self._asked.add(address)
-                self._world.ask(address, hello, HELLO_US, partial(self._greeted, address))
+        hello = self._hello()
+        for address in {*self._seeds, *self.peers()} - {self._core.me.address} - self._asked:
+            self._asked.add(address)
+            self._world.ask(address, hello, HELLO_US, partial(self._greeted, address))
+        if not self._stuck():
             self._mend(now)
 
     def hello(self, m: Hello, reply: Callable[[Message], None]) -> None:
         self._meet(m)
-        if self._stuck():
-            return
         h = self._hello()
         reply(Greeted(h.sender, h.view, h.seq, h.blocked, h.leaving, h.synced, h.peers))
         self._chain.nudge(m.sender.address, m.view.number, m.synced)
