--- /dev/null
+++ b/tests/mesh/test_settings.py
@@ -0,0 +1,66 @@
+"""The settings file, and commands: what is wrong is told by file, key and bound."""
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from guild.settings import SettingsError, load
+
+GOOD = """NodeName = "sidecar-1"
+IpAddress = "10.1.0.35"
+ZoneName = "z"
+InternalPorts = [7660,7675]
+SeedNodes = ["10.1.0.40:8146"]
+TimingBounds = ["DrainWithinMs=2000","RetryWindowS=10","SomethingNew=maybe","closed=false"]
+AppAddress = "10.1.0.35:8147"
+FieldOfTomorrow = { a = 1 }
+[Survive]
+LostMachines = 2
+"""
+
+
+def test_what_is_used_of_a_file_and_what_is_not_known_is_ignored(tmp_path: Path) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(GOOD)
+    settings = load(str(path))
+    assert settings.lost_machines == 2 and settings.ports == (7660, 7675)
+    assert settings.bound_us("DrainWithinMs", 1) == 2_000_000 and settings.bound_us("RetryWindowS", 1) == 10_000_000
+    assert settings.bound_us("GracePeriodS", 6000) == 6_000_000 and settings.bounds["closed"] == 0.0
+
+
+@pytest.mark.parametrize(("line", "wrong", "told"), [
+    ('NodeName = "sidecar-1"', "NodeName = 7", "NodeName: must be a str, is 7"),
+    ("InternalPorts = [7660,7675]", "InternalPorts = [7675,7660]", "InternalPorts: must be two ports in order"),
+    ('SeedNodes = ["10.1.0.40:8146"]', 'SeedNodes = ["nowhere"]', "SeedNodes: no address: 'nowhere'"),
+    ('AppAddress = "10.1.0.35:8147"', "AppAddress = 3", "AppAddress: no address: 3"),
+    ('ZoneName = "z"', "", "ZoneName: must be a str, is None"),
+    ('ZoneName = "z"', "ZoneName =", "Invalid value"),
+])
+def test_what_is_wrong_is_named(tmp_path: Path, line: str, wrong: str, told: str) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(GOOD.replace(line, wrong))
+    with pytest.raises(SettingsError) as e:
+        load(str(path))
+    assert str(path) in str(e.value) and told in str(e.value)
+
+
+def test_a_call_is_checked_on_the_command_line(tmp_path: Path) -> None:
+    path = tmp_path / "change.json"
+    rule = {"Name": "a", "ConfigVersion": "r1", "RouteKind": "writes", "When": {"PathPrefix": "/a/"},
+            "Then": {"TargetService": "s", "TimeoutMs": 5}}
+    call = {"ReplaceItems": {"Listeners": [{"Host": "h", "Policy": [rule]}]}}
+
+    def check() -> tuple[int, str, str]:
+        path.write_text(json.dumps(call))
+        ended = subprocess.run([sys.executable, "-m", "weighhouse", "check", str(path)], capture_output=True, text=True)
+        return ended.returncode, ended.stdout, ended.stderr
+
+    assert check() == (1, "", f"weighhouse: {path}: route a: service s is not known\n")
+    call["ReplaceItems"]["Groups"] = [{"Name": "s", "ConfigVersion": "r1"}]
+    assert check() == (0, "sets route a r1\nsets service s r1\n", "")
+    rule["Then"]["TimeoutMs"] = 0  # type: ignore[index]
+    assert check()[2] == (f"weighhouse: {path}: ReplaceItems.Listeners.0.Policy.0.Then.TimeoutMs: min value is 1\n")
