What a backend may not have counted yet is not missing; no write is given up

Only what has been out for 0.1 s counts, and only reads are given up. Ruled out: the leaving porter (it passed on the 502 that it got).

--- a/porter/far.py
+++ b/porter/far.py
@@ -23,6 +23,7 @@
 
 PILE = 256 * 1024  # not taken by the next on the way: the one before is made to wait
 LOOK_US = 20_000
+SETTLED_US = 100_000  # a request that is out for so long is surely known to its backend
 RESUME_US = 5_000  # a body that is held up is looked at so often
 ANSWER_MARGIN_US = 30_000  # a backend's own 504 is given this long to come
 
@@ -79,11 +80,12 @@
         """An answer has told what the backend holds, its own request counted in."""
         if report is None:
             return
-        out = [c for c in self.carried if c.is_out]
+        now = self.now()
+        # What was sent a moment ago may not have come when the report was made. A write is never given up: it may run.
+        out = [c for c in self.carried if c.is_out and (c is answered or now - c.ticket.began_at > SETTLED_US)]
         if not self._missing.told(report, len(out)):
             return
-        now = self.now()
-        late = [c for c in out if c is not answered
+        late = [c for c in out if c is not answered and c.repeatable
                 and self._missing.overdue(now - c.ticket.began_at, self.gate.expected_us(c.ticket.route))]
         if late:
             min(late, key=lambda c: c.ticket.began_at).on_lost("its backend holds it no more")
@@ -105,6 +107,7 @@
         until = now + (aim_us - expected if aim_us > 0 else offer.left_ms * 1000 - expected)
         self.ticket = Ticket(offer.rank, until, offer.route, self._begin, self._turned)
         self.attempt_id = next((v for n, v in offer.headers if n.lower() == b"attempt-id"), b"")
+        self.repeatable = offer.repeatable
         self.is_head = offer.method == b"HEAD"
         self._connection: BackendConnection | None = None
         self._pieces: list[Piece] = []  # of the body, before there is a connection
--- a/porter/missing.py
+++ b/porter/missing.py
@@ -1,7 +1,8 @@
 """Requests that a backend has ended without an answer: it tells that it holds fewer than were sent to it. No I/O.
 
 All that a backend holds was sent by the porter beside it. One answer may cross another on its way, so a single report
-proves nothing; what is missing in two reports, one after the other, is taken for the oldest that is overdue.
+proves nothing, and what was sent a moment ago is not counted; what is missing in two reports, one after the other, is
+taken for the oldest read that is overdue.
 """
 from __future__ import annotations
 
--- a/tests/mesh/exchanges.feature
+++ b/tests/mesh/exchanges.feature
@@ -230,3 +230,11 @@
     And its grace is over
     Then the client gets: 504 200
     And the connection is closed in order
+
+  Scenario: A write is never given up for what its backend counts
+    Given the backends one two
+    And backend one answers much later, answers late and holds one, answers later and holds one
+    And the first choice is one
+    When the client sends: POST /writes/a, GET /reads/b, GET /reads/c
+    Then the client gets: 200 200 200
+    And the backends ran: one one one
--- a/tests/mesh/stage.py
+++ b/tests/mesh/stage.py
@@ -103,6 +103,9 @@
         self._backend.ran.pop()
         self.send(answer(request, b"", b"503 Service Unavailable", b"Not-Run: 1\r\n"))
 
+    def _answers_much_later(self, request: Message) -> None:
+        self._backend.reactor.after(600_000, self._answers, request)
+
     def _answers_late_and_holds_one(self, request: Message) -> None:
         self._backend.reactor.after(200_000, self._holds_one, request)
 
