Soak: a mesh of real processes under signals, kills and changes by seed, judged from outside

The package lilacsill.mesh.soak starts core machines and proxies, plays backends, clients (one request at a time, pipelined, fresh connections, slow readers) and an operator, and brings faults about by seed in series that overlap. Starting processes is shared with the tour (loopback_processes).

--- a/benchmarks/mesh_cost.py
+++ b/benchmarks/mesh_cost.py
@@ -18,7 +18,15 @@
 
 from httptools import HttpResponseParser
 
-from lilacsill.mesh.simulation.loopback import APP, OUTGOING, READY, Backend, Exchange, Fair, rules
+from lilacsill.mesh.simulation.loopback import SERVICE, Backend, Exchange, Fair, rules
+from lilacsill.mesh.simulation.loopback_processes import (
+    APP_PORT,
+    CORE_PROGRAMS,
+    OUTGOING_PORT,
+    READY_PORT,
+    ProcessKey,
+    Program,
+)
 from lilacsill.mesh.runtime.link import connect
 from lilacsill.address import Address
 from lilacsill.http1.connection import Connection
@@ -82,11 +90,11 @@
 def ready_after(fair: Fair, ip: str) -> float:
     """Seconds from the start of a proxy until it says that it is ready."""
     began, ready = time.monotonic(), list[bool]()
-    fair.start("proxy", ip)
+    fair.processes.start(Program.PROXY, ip, SERVICE)
 
     def ask() -> None:
         data = encode_request(b"GET", b"/api/ready", [(b"Host", b"proxy")])
-        Exchange(fair.reactor, Address(ip, READY), data, answered)
+        Exchange(fair.reactor, Address(ip, READY_PORT), data, answered)
 
     def answered(status: int, _: bytes) -> None:
         if status == 200:
@@ -110,16 +118,20 @@
         fair.operate(rules(1, ["reads", "writes"]), done.append)
         assert fair.until(lambda: done == [200], 20)
         fair.run(2.0)
-        pids = {name: fair.pid("proxy", ip) for name, ip in (("near", near), ("far", far))}
-        load(fair, Address(near, OUTGOING), requests // 10)  # connections are up, tables are known
+        pids = {name: fair.processes.pid(ProcessKey(Program.PROXY, ip)) for name, ip in (("near", near), ("far", far))}
+        load(fair, Address(near, OUTGOING_PORT), requests // 10)  # connections are up, tables are known
         before = {name: cpu_s(pid) for name, pid in pids.items()}
-        served = load(fair, Address(near, OUTGOING), requests)
+        served = load(fair, Address(near, OUTGOING_PORT), requests)
         cost = {name: 1e6 * (cpu_s(pid) - before[name]) / served for name, pid in pids.items()}
         memory = {name: private_mb(pid) for name, pid in pids.items()}
-        memory |= {program: private_mb(fair.pid(program, fair.cores[0])) for program in ("registry", "store")}
+        memory |= {
+            program: private_mb(fair.processes.pid(ProcessKey(program, fair.cores[0]))) for program in CORE_PROGRAMS
+        }
         Backend(fair, "127.0.0.1")
         control = subprocess.Popen(
-            [sys.executable, "-m", "benchmarks.passthrough", str(APP)], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+            [sys.executable, "-m", "benchmarks.passthrough", str(APP_PORT)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
         )
         assert control.stdout is not None and control.stdin is not None
         port = int(control.stdout.readline())
@@ -129,7 +141,7 @@
         bare = 1e6 * (cpu_s(control.pid) - at) / requests
         control.stdin.close()
         control.wait()
-        fair.kill("proxy", near)
+        fair.processes.kill(ProcessKey(Program.PROXY, near))
         start = ready_after(fair, near)
     print(f"CPU a request: near {cost['near']:.0f} us, far {cost['far']:.0f} us, pass-through {bare:.0f} us")
     print(f"both ends: {(cost['near'] + cost['far']) / bare:.1f} times the control")
--- a/lilacsill/mesh/simulation/loopback.py
+++ b/lilacsill/mesh/simulation/loopback.py
@@ -6,14 +6,10 @@
 
 from __future__ import annotations
 
-import os
 import signal
 import subprocess
-import sys
-import tempfile
 from collections import Counter
 from collections.abc import Callable
-from pathlib import Path
 from types import TracebackType
 
 import msgspec
@@ -26,30 +22,13 @@
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.net import reactor as watchers
 
+from .loopback_processes import APP_PORT, CONTROL_PORT, OUTGOING_PORT, LoopbackProcesses, ProcessKey, Program
 from .store_fleet import put, route
 
-OUTGOING, READY, CONTROL, APP, INTERNAL = 18141, 18140, 18146, 18147, (17660, 17675)
 HEARTBEAT_US, WORK_US, REST_US = 500_000, 20_000, 30_000
 PATIENCE_MS = 1_000
 SERVICE = "s"
 
-SETTINGS = """NodeName = "{name}"
-IpAddress = "{ip}"
-ZoneName = "z{zone}"
-InternalPorts = [{first},{last}]
-SeedNodes = [{seeds}]
-FreshStart = {fresh}
-LossCounts = {counts}
-BeatEveryMs = 500
-TimingBounds = ["DrainWithinMs=2000","GracePeriodS=6","RetryRatio=0.2","RetryWindowS=10","RetrySlack=60"]
-{more}
-[ListenOn]
-ControlPort = "{ip}:{control}"
-{listen}
-[Survive]
-LostMachines = 1
-"""
-
 
 class Exchange(Connection):
     """One request of somebody outside; `done` hears the status once, 0 where no whole answer came."""
@@ -90,7 +69,7 @@
         self.fair, self.ip, self.server = fair, ip, f"i-{ip}-{run_number}"
         self.count = self.running = 0
         self.state = "ready"
-        self.listener = Listener(fair.reactor, Address(ip, APP), self._accepted)
+        self.listener = Listener(fair.reactor, Address(ip, APP_PORT), self._accepted)
         self._heartbeat()
 
     def _accepted(self, sock: object) -> None:
@@ -100,13 +79,13 @@
         self.count += 1
         body = msgspec.json.encode(
             {
-                "Address": f"{self.ip}:{APP}",
+                "Address": f"{self.ip}:{APP_PORT}",
                 "Details": {"TargetService": SERVICE, "FreeSlots": 8},
                 "Condition": {"ServerState": self.state, "CallCount": self.count, "ColdLeftMs": 0},
             }
         )
         data = encode_request(b"PUT", f"/api/servers/{self.server}".encode(), [(b"Host", b"proxy")], body)
-        Exchange(self.fair.reactor, Address(self.ip, CONTROL), data, lambda status, body: None)
+        Exchange(self.fair.reactor, Address(self.ip, CONTROL_PORT), data, lambda status, body: None)
         self.fair.reactor.after(HEARTBEAT_US, self._heartbeat)
 
 
@@ -150,8 +129,7 @@
         self.ran: Counter[str] = Counter()  # times that a request was run, by its id
         self.answered: dict[str, int] = {}  # status, by id
         self.served: Counter[str] = Counter()
-        self._folder = tempfile.TemporaryDirectory(prefix="lilacsill.mesh.simulation-")
-        self._processes: dict[tuple[str, str], subprocess.Popen[bytes]] = {}
+        self.processes = LoopbackProcesses(self.cores)
         self._numbers = 0
         self.backends: dict[str, Backend] = {}
 
@@ -159,74 +137,32 @@
         for ip in self.cores:
             self.start_core(ip, fresh=True)
         for ip in self.sidecars:
-            self.start("proxy", ip, fresh=True)
+            self.processes.start(Program.PROXY, ip, SERVICE, fresh=True)
             self.backends[ip] = Backend(self, ip)
         return self
 
     def __exit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
-        for process in self._processes.values():
-            process.kill()
-        for process in self._processes.values():
-            process.wait()
+        self.processes.close()
         self.reactor.close()
         watchers.install(None)
-        self._folder.cleanup()
 
     # Processes
 
     def start_core(self, ip: str, fresh: bool = False) -> None:
         """Start store and registry of a core machine."""
-        self.start("store", ip, fresh)
-        self.start("registry", ip, fresh)
-
-    def start(self, program: str, ip: str, fresh: bool = False) -> None:
-        """Start a program on a machine, with settings of its own."""
-        folder = Path(self._folder.name, ip, program)
-        folder.mkdir(parents=True, exist_ok=True)
-        beside = program == "proxy"
-        more = f'AppAddress = "{ip}:{APP}"\nTargetService = "{SERVICE}"' if beside else f'DataFolder = "{folder}"'
-        listen = f'Outgoing = "{ip}:{OUTGOING}"\nReadyCheck = "{ip}:{READY}"' if beside else ""
-        path = folder / "node.toml"
-        path.write_text(
-            SETTINGS.format(
-                name=f"{program}-{ip}",
-                ip=ip,
-                zone=ip[-1],
-                first=INTERNAL[0],
-                last=INTERNAL[1],
-                control=CONTROL,
-                seeds=",".join(f'"{c}:{CONTROL}"' for c in self.cores[:3]),
-                fresh=str(fresh).lower(),
-                counts=str(not beside).lower(),
-                more=more,
-                listen=listen,
-            )
-        )
-        env = {**os.environ, "LILACSILL_SETTINGS": str(path)}
-        self._processes[program, ip] = subprocess.Popen([sys.executable, "-m", f"lilacsill.mesh.{program}"], env=env)
-
-    def pid(self, program: str, ip: str) -> int:
-        """Return the process id of a program."""
-        return self._processes[program, ip].pid
-
-    def kill(self, program: str, ip: str) -> None:
-        """Kill a program, and wait for its end."""
-        process = self._processes.pop((program, ip))
-        process.kill()
-        process.wait()
+        self.processes.start_core(ip, fresh)
 
     def kill_core(self, ip: str) -> None:
         """Kill registry and store of a core machine."""
-        for program in ("registry", "store"):
-            self.kill(program, ip)
+        self.processes.kill_core(ip)
 
-    def terminate(self, program: str, ip: str) -> subprocess.Popen[bytes]:
+    def terminate(self, program: Program, ip: str) -> subprocess.Popen[bytes]:
         """Send SIGTERM to a program, and return its process."""
-        process = self._processes.pop((program, ip))
-        process.send_signal(signal.SIGTERM)
-        return process
+        key = ProcessKey(program, ip)
+        self.processes.signal(key, signal.SIGTERM)
+        return self.processes.release(key)
 
     # The world
 
@@ -240,7 +176,7 @@
             else:
                 done(status)
 
-        Exchange(self.reactor, Address(self.cores[at % len(self.cores)], CONTROL), data, answered)
+        Exchange(self.reactor, Address(self.cores[at % len(self.cores)], CONTROL_PORT), data, answered)
 
     def client(self, ip: str, path: bytes, method: bytes, until: int) -> None:
         """One request after the other."""
@@ -257,7 +193,7 @@
             self.served[what] += 1
             self.reactor.after(REST_US, self.client, ip, path, method, until)
 
-        Exchange(self.reactor, Address(ip, OUTGOING), data, answered)
+        Exchange(self.reactor, Address(ip, OUTGOING_PORT), data, answered)
 
     def run(self, seconds: float) -> None:
         """Run the loop for so long."""
--- /dev/null
+++ b/lilacsill/mesh/soak/__main__.py
@@ -0,0 +1,61 @@
+"""Play soaks from the command line: `python -m lilacsill.mesh.soak run --seed 7 --seconds 30`."""
+
+from __future__ import annotations
+
+import sys
+
+import msgspec
+
+from .soak_run import SoakReport, SoakRun, SoakSettings
+
+EXIT_CLEAN, EXIT_VIOLATIONS = 0, 1
+
+
+def play(settings: SoakSettings) -> SoakReport:
+    """Play one soak."""
+    with SoakRun(settings) as soak:
+        return soak.play()
+
+
+def describe(report: SoakReport) -> str:
+    """Return a report as text: a line on the soak, and one on each broken rule."""
+    head = (
+        f"seed {report.settings.seed}: {report.workload}, {report.closing}; {report.requests} requests, "
+        f"{report.served} served, {report.refused} refused, {report.changes_acknowledged} changes acknowledged, "
+        f"{len(report.violations)} violations"
+    )
+    lines = [f"  {(v.at - report.started_at) / 1e6:.2f} s {v.rule}: {v.detail}" for v in report.violations]
+    return "\n".join([head, *lines, *(f"    log: {line}" for line in report.log_lines)])
+
+
+class Commands:
+    """Soaks of a mesh of real processes on loopback."""
+
+    def run(
+        self,
+        seed: int,
+        count: int = 1,
+        seconds: float = 30.0,
+        cores: int = 3,
+        proxies: int = 6,
+        clients: int = 24,
+        json: bool = False,
+    ) -> None:
+        """Play COUNT soaks from SEED on; exit with status 1 if a rule was broken. --json prints reports as JSON."""
+        has_violations = False
+        for number in range(seed, seed + count):
+            report = play(SoakSettings(number, seconds, cores, proxies, clients))
+            print(msgspec.json.encode(report).decode() if json else describe(report), flush=True)
+            has_violations = has_violations or bool(report.violations)
+        sys.exit(EXIT_VIOLATIONS if has_violations else EXIT_CLEAN)
+
+
+def main() -> None:
+    """Run the command that the arguments name."""
+    import fire
+
+    fire.Fire(Commands(), name="python -m lilacsill.mesh.soak")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lilacsill/mesh/soak/client.py
@@ -0,0 +1,200 @@
+"""Clients of the machines: each sends requests at its own pace, and uses a connection until its proxy closes it."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+from random import Random
+from typing import Protocol
+
+from httptools import HttpResponseParser
+
+from lilacsill.address import Address
+from lilacsill.http1.connection import Connection
+from lilacsill.http1.message import Message, Reader, encode_request
+from lilacsill.mesh.runtime.link import connect
+from lilacsill.mesh.runtime.reactor import Reactor
+from lilacsill.mesh.simulation.loopback_processes import OUTGOING_PORT
+from lilacsill.timers import Timer
+
+from .observations import ClientRequest, Record, RequestEnd
+from .workload import US_PER_MS, Habit, RouteWork, Workload, response_body, seal
+
+CONNECT_TIMEOUT_US = 1_000_000
+RECONNECT_US = 100_000
+THINK_US = 120_000  # mean pause between two requests of a client
+MAX_PIPELINED = 4
+AFTER_DEADLINE_US = 500_000  # a request without a response is given up so long after its deadline
+SLOW_READ_BYTES, SLOW_READ_PAUSE_US = 16 * 1024, 5_000
+SLOW_RECEIVE_BUFFER_BYTES = 8 * 1024
+MAX_BODY_BYTES = 1 << 24
+WRITE_BODY = b"w" * 300
+
+
+class ClientWorld(Protocol):
+    """What all clients of a soak share."""
+
+    reactor: Reactor
+    record: Record
+    workload: Workload
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no more requests are to be sent."""
+
+    def next_attempt_id(self) -> str:
+        """Return an id that no other request has."""
+
+
+class ClientConnection(Connection):
+    """One connection, and the requests on it that have no response yet, in the order of their sending."""
+
+    def __init__(self, client: Client, is_slow: bool) -> None:
+        super().__init__()
+        self._client, self._is_slow = client, is_slow
+        self._reader = Reader(HttpResponseParser, MAX_BODY_BYTES)
+        self.pending: deque[ClientRequest] = deque()
+        self._is_over = False
+
+    def start(self, sock: socket.socket) -> None:
+        """Take over a connected socket."""
+        if self._is_slow:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_RECEIVE_BUFFER_BYTES)
+        self.attach(sock)
+        if self._is_slow and self.stream is not None:
+            self.stream.read_limit = lambda: SLOW_READ_BYTES
+
+    def send_request(self, request: ClientRequest, route: RouteWork) -> None:
+        """Send one request behind those that are pending."""
+        method, body = (b"GET", b"") if route.idempotent else (b"POST", WRITE_BODY)
+        headers = [
+            (b"Host", b"h.example"),
+            (b"Attempt-Id", request.attempt_id.encode()),
+            (b"Time-Left-Ms", b"%d" % route.patience_ms),
+        ]
+        self.pending.append(request)
+        self.send(encode_request(method, f"/{route.name}/a".encode(), headers, body))
+
+    def on_data(self, data: bytes) -> None:
+        """Match responses with requests."""
+        for response in self._reader.feed(data):
+            if not self.pending or self._is_over:
+                self.give_up()
+                return
+            self._on_response(self.pending.popleft(), response)
+        if self._is_slow and self.stream is not None:
+            self.stream.pause()
+            self._client.world.reactor.after(SLOW_READ_PAUSE_US, self._resume)
+
+    def _resume(self) -> None:
+        if self.stream is not None:
+            self.stream.resume()
+
+    def _on_response(self, request: ClientRequest, response: Message) -> None:
+        route = self._client.world.workload.route(request.route)
+        request.end, request.status = RequestEnd.ANSWERED, response.status
+        request.ended_at = self._client.world.reactor.now()
+        request.is_sealed = response.header(b"server-seal") == seal(request.attempt_id)
+        request.is_intact = bytes(response.body) == response_body(request.attempt_id, route.body_bytes)
+        if not response.keep_alive:
+            self._finish(RequestEnd.NOT_READ, RequestEnd.NOT_READ)
+        self._client.on_response()
+
+    def on_end(self) -> None:
+        """Handle that the proxy has closed the connection."""
+        self._finish(RequestEnd.CLOSED, RequestEnd.CLOSED_BEHIND)
+
+    def give_up(self) -> None:
+        """Close the connection: the first request has no response in time."""
+        self._finish(RequestEnd.GIVEN_UP, RequestEnd.NOT_READ)
+
+    def _finish(self, first_end: RequestEnd, later_end: RequestEnd) -> None:
+        if self._is_over:
+            return
+        self._is_over = True
+        now = self._client.world.reactor.now()
+        for number, request in enumerate(self.pending):
+            request.end, request.ended_at = later_end if number else first_end, now
+        self.pending.clear()
+        if self.stream is not None:
+            self.drop()
+        self._client.on_connection_ended(self)
+
+
+class Client:
+    """One client of one machine."""
+
+    def __init__(self, world: ClientWorld, ip: str, habit: Habit, rng: Random) -> None:
+        self.world, self._ip, self._habit, self._rng = world, ip, habit, rng
+        self._connection: ClientConnection | None = None
+        self._is_connecting = False
+        self._timer: Timer | None = None
+        self._schedule(rng.uniform(0, THINK_US))
+
+    def _schedule(self, delay_us: float) -> None:
+        if self._timer is None and not self.world.is_over:
+            self._timer = self.world.reactor.after(int(delay_us), self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        if self.world.is_over:
+            return
+        if self._connection is not None:
+            self._send_requests(self._connection)
+        elif not self._is_connecting:
+            self._is_connecting = True
+            address = Address(self._ip, OUTGOING_PORT)
+            connect(self.world.reactor, address, CONNECT_TIMEOUT_US, self._on_connected, self._on_refused)
+
+    def _on_connected(self, sock: socket.socket) -> None:
+        self._is_connecting = False
+        connection = ClientConnection(self, is_slow=self._habit is Habit.SLOW_READER)
+        connection.start(sock)
+        self._connection = connection
+        self._send_requests(connection)
+
+    def _on_refused(self, _error: OSError) -> None:
+        self._is_connecting = False
+        self._schedule(RECONNECT_US)
+
+    def _send_requests(self, connection: ClientConnection) -> None:
+        if self._habit is not Habit.PIPELINED:
+            if not connection.pending:
+                self._send(connection, self._choose_route(reads_only=False))
+            return
+        count = self._rng.randint(1, MAX_PIPELINED - len(connection.pending)) if connection.pending else 1
+        for _ in range(count):
+            self._send(connection, self._choose_route(reads_only=True))
+        self._schedule(self._rng.expovariate(1 / THINK_US))
+
+    def _choose_route(self, reads_only: bool) -> RouteWork:
+        routes = [route for route in self.world.workload.routes if route.idempotent or not reads_only]
+        return self._rng.choice(routes)
+
+    def _send(self, connection: ClientConnection, route: RouteWork) -> None:
+        if not connection.open or len(connection.pending) >= MAX_PIPELINED:
+            return
+        now = self.world.reactor.now()
+        deadline_at = now + min(route.patience_ms, route.timeout_ms) * US_PER_MS
+        request = ClientRequest(self.world.next_attempt_id(), self._ip, route.name, route.idempotent, now, deadline_at)
+        self.world.record.requests.append(request)
+        connection.send_request(request, route)
+        patience_us = deadline_at - now + AFTER_DEADLINE_US
+        self.world.reactor.after(patience_us, self._give_up_if_pending, connection, request)
+
+    def _give_up_if_pending(self, connection: ClientConnection, request: ClientRequest) -> None:
+        if request.end is RequestEnd.PENDING and connection.pending and connection.pending[0] is request:
+            connection.give_up()
+
+    def on_response(self) -> None:
+        """Go on after a response: a pause, then the next request."""
+        if self._habit is Habit.FRESH and self._connection is not None:
+            connection, self._connection = self._connection, None
+            connection.give_up()
+        self._schedule(self._rng.expovariate(1 / THINK_US))
+
+    def on_connection_ended(self, connection: ClientConnection) -> None:
+        """Open another connection for the next request."""
+        if connection is self._connection:
+            self._connection = None
+        self._schedule(RECONNECT_US)
--- /dev/null
+++ b/lilacsill/mesh/soak/fault_plan.py
@@ -0,0 +1,81 @@
+"""Which faults a soak brings about, and when: drawn by seed, in series that overlap. No I/O."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from random import Random
+
+import msgspec
+
+US_PER_S = 1_000_000
+
+
+class Fault(StrEnum):
+    """What may happen to a machine. The number of the event picks the machine."""
+
+    RESTART_PROXY = "restart proxy"  # SIGTERM, and a start once it has ended
+    TERMINATE_TWICE = "terminate proxy twice"  # the same with a second SIGTERM and a SIGHUP in between
+    RELOAD = "reload"  # SIGHUP to all processes of a machine
+    KILL_CORE = "kill core machine"
+    RESTART_CORE = "restart core machine"
+    KILL_PROXY = "kill proxy"
+    SLOW_BACKEND = "slow backend"
+    REPLACE_BACKEND = "replace backend"
+    CHANGE = "change"  # of the configuration
+    RACING_CHANGES = "racing changes"
+
+
+class ClosingFault(StrEnum):
+    """What ends the day: everything acknowledged must be there afterwards."""
+
+    KILL_ALL = "kill all"
+    KILL_ALL_WIPE_ONE = "kill all, wipe one core disk"
+
+
+class FaultEvent(msgspec.Struct, frozen=True):
+    """One fault at a time of the soak, in microseconds from its start."""
+
+    at: int
+    fault: Fault
+    number: int
+
+
+class FaultPlan(msgspec.Struct, frozen=True):
+    """All faults of one soak."""
+
+    events: tuple[FaultEvent, ...]
+    closing: ClosingFault
+
+
+FIRST_AT_US = 2 * US_PER_S
+MEAN_GAP_US = 1_200_000  # between two series
+SERIES = (  # faults that come one shortly after the other; the weights say how often
+    ((Fault.RESTART_PROXY,), 4),
+    ((Fault.RESTART_PROXY, Fault.RESTART_PROXY, Fault.RESTART_PROXY), 3),
+    ((Fault.RESTART_PROXY, Fault.SLOW_BACKEND), 3),
+    ((Fault.TERMINATE_TWICE,), 2),
+    ((Fault.RELOAD, Fault.CHANGE, Fault.RELOAD), 3),
+    ((Fault.KILL_CORE, Fault.CHANGE, Fault.RACING_CHANGES), 2),
+    ((Fault.RESTART_CORE, Fault.CHANGE), 2),
+    ((Fault.CHANGE, Fault.RACING_CHANGES), 4),
+    ((Fault.SLOW_BACKEND,), 2),
+    ((Fault.REPLACE_BACKEND, Fault.RESTART_PROXY), 1),
+    ((Fault.KILL_PROXY,), 1),
+)
+MAX_STEP_US = 1_300_000  # between two faults of a series
+
+
+def draw_plan(rng: Random, duration_us: int) -> FaultPlan:
+    """Return a plan whose faults lie between `FIRST_AT_US` and `duration_us`."""
+    events: list[FaultEvent] = []
+    at = FIRST_AT_US
+    while at < duration_us:
+        series = rng.choices([faults for faults, _ in SERIES], [weight for _, weight in SERIES])[0]
+        fault_at = at
+        for fault in series:
+            events.append(FaultEvent(fault_at, fault, rng.getrandbits(16)))
+            fault_at += int(rng.uniform(0, MAX_STEP_US))
+        at += int(rng.expovariate(1 / MEAN_GAP_US))
+    events = [event for event in events if event.at < duration_us]
+    events.sort(key=lambda event: event.at)
+    return FaultPlan(tuple(events), rng.choice(list(ClosingFault)))
--- /dev/null
+++ b/lilacsill/mesh/soak/observations.py
@@ -0,0 +1,106 @@
+"""What clients, backends and the operator of a soak see on their sockets. Times: microseconds, monotonic clock."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from signal import Signals
+from typing import Any
+
+import msgspec
+
+from lilacsill.mesh.simulation.loopback_processes import ProcessKey
+
+
+class RequestEnd(StrEnum):
+    """How a client's request ended, for the client."""
+
+    PENDING = "pending"
+    ANSWERED = "answered"
+    CLOSED = "closed"  # the connection ended without a complete response to it
+    CLOSED_BEHIND = "closed behind"  # the same, and an earlier request of the connection had no response either
+    NOT_READ = "not read"  # it was sent behind a request whose response closed the connection
+    GIVEN_UP = "given up"  # the client closed the connection
+
+
+class ClientRequest(msgspec.Struct):
+    """One request of a client: one attempt with an `Attempt-Id` of its own."""
+
+    attempt_id: str
+    ip: str  # the machine whose proxy took it
+    route: str
+    idempotent: bool
+    sent_at: int  # its last byte
+    deadline_at: int  # the client's patience and the route's time-out, whichever ends first
+    end: RequestEnd = RequestEnd.PENDING
+    ended_at: int = 0
+    status: int = 0
+    is_sealed: bool = False  # the response carries the seal of a backend for this request
+    is_intact: bool = False  # the body is the one that the backend sent
+
+
+class WorkEnd(StrEnum):
+    """How the work of a backend on a request ended."""
+
+    WORKING = "working"
+    ANSWERED = "answered"
+    EXPIRED = "expired"  # its time was up, and the backend answered 504
+    DROPPED = "dropped"  # the connection from the proxy ended first
+    REFUSED = "refused"  # it did not run, and the backend said so
+
+
+class BackendWork(msgspec.Struct):
+    """One arrival of a request at a backend."""
+
+    attempt_id: str
+    ip: str  # the machine of the backend
+    arrived_at: int
+    end: WorkEnd = WorkEnd.WORKING
+    ended_at: int = 0
+
+    @property
+    def has_run(self) -> bool:
+        """Whether the backend began to work on it."""
+        return self.end is not WorkEnd.REFUSED
+
+    def is_under_way(self, at: int) -> bool:
+        """Return whether the backend was at work at that time."""
+        return self.has_run and self.arrived_at <= at and (self.end is WorkEnd.WORKING or at <= self.ended_at)
+
+
+class SignalSent(msgspec.Struct, frozen=True):
+    """A signal to a process."""
+
+    key: ProcessKey
+    number: Signals
+    at: int
+
+
+class ProcessEnd(msgspec.Struct, frozen=True):
+    """The end of a process; `signalled_at` is that of the first signal that ends it, None where there was none."""
+
+    key: ProcessKey
+    status: int  # negative: the signal that ended it
+    at: int
+    signalled_at: int | None
+    is_killed: bool
+
+
+class ItemChange(msgspec.Struct):
+    """One version of a route that an operator sent; `item` is None where it removes the route."""
+
+    name: str
+    version: int
+    item: dict[str, Any] | None
+    sent_at: int
+    acknowledged_at: int | None = None
+
+
+class Record(msgspec.Struct):
+    """Everything that was observed in one soak."""
+
+    requests: list[ClientRequest] = []
+    work: dict[str, list[BackendWork]] = {}  # by attempt
+    signals: list[SignalSent] = []
+    ends: list[ProcessEnd] = []
+    changes: list[ItemChange] = []
+    final_items: dict[str, dict[str, Any]] | None = None  # routes read back at the end, by name; None: no answer
--- /dev/null
+++ b/lilacsill/mesh/soak/operator_client.py
@@ -0,0 +1,142 @@
+"""The operator of a soak: changes routes through any core machine, and reads the configuration back at the end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import msgspec
+
+from lilacsill.address import Address
+from lilacsill.http1.message import Message
+from lilacsill.mesh.runtime.reactor import Reactor
+from lilacsill.mesh.simulation.loopback_processes import CONTROL_PORT
+
+from .http_call import HttpCall
+from .observations import ItemChange, Record
+from .workload import RouteWork, Workload
+
+CALL_TIMEOUT_US = 1_500_000
+RETRY_US, MAX_RETRY_US = 200_000, 1_000_000
+HOST = "h.example"
+PATH = b"/api/config"
+MAX_EXTRA_ROUTES = 12  # names that changes pick from, so that versions of the same route follow each other
+
+
+def route_item(route: RouteWork, version: int) -> dict[str, Any]:
+    """Return a route as an item of the configuration."""
+    return {
+        "Name": route.name,
+        "RouteKind": "read_only" if route.idempotent else "writes",
+        "TargetMs": route.target_ms,
+        "Rank": 1,
+        "ConfigVersion": f"r{version}",
+        "When": {"PathPrefix": f"/{route.name}/"},
+        "Then": {
+            "TargetService": route.service,
+            "TimeoutMs": route.timeout_ms,
+            "MaxTries": 2 if route.idempotent else 1,
+        },
+    }
+
+
+class OperatorClient:
+    """Sends changes until each has a clear answer. Several may be under way at once."""
+
+    def __init__(self, reactor: Reactor, record: Record, workload: Workload, core_ips: list[str], rng: Random) -> None:
+        self._reactor, self._record, self._workload, self._rng = reactor, record, workload, rng
+        self._core_ips = core_ips
+        self._version = 0
+        self.pending = 0
+        self.is_over = False  # changes without an answer are given up
+
+    def send_first_configuration(self) -> None:
+        """Send all routes and services of the workload."""
+        version = self._next_version()
+        items = [route_item(route, version) for route in self._workload.routes]
+        groups = [
+            {
+                "Name": name,
+                "HealthPath": "/health",
+                "MaxConnections": 110,
+                "Protocol": "h1",
+                "UseTls": False,
+                "ConfigVersion": f"r{version}",
+            }
+            for name in sorted(set(self._workload.services))
+        ]
+        limits = {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 67108864,
+            "HeaderWaitMs": 3000,
+            "IdleTimeoutMs": 15000,
+            "ConfigVersion": f"r{version}",
+        }
+        body = {
+            "ReplaceItems": {"Limits": limits, "Listeners": [{"Host": HOST, "Policy": items}], "Groups": groups},
+            "RemoveItems": {"Routing": []},
+        }
+        self._send(body, [self._change(item["Name"], version, item) for item in items])
+
+    def send_change(self) -> None:
+        """Set or remove one of the extra routes, which get no requests."""
+        version = self._next_version()
+        name = f"extra-{self._rng.randrange(MAX_EXTRA_ROUTES)}"
+        is_removed = self._rng.random() < 0.25
+        if is_removed:
+            removed = [{"Name": name, "ConfigVersion": f"r{version}"}]
+            body: dict[str, Any] = {"ReplaceItems": {}, "RemoveItems": {"Routing": removed}}
+            item = None
+        else:
+            model = self._rng.choice(self._workload.routes)
+            timeout_ms = self._rng.randint(500, 5_000)
+            item = route_item(msgspec.structs.replace(model, name=name, timeout_ms=timeout_ms), version)
+            listeners = [{"Host": HOST, "Policy": [item]}]
+            body = {"ReplaceItems": {"Listeners": listeners}, "RemoveItems": {"Routing": []}}
+        self._send(body, [self._change(name, version, item)])
+
+    def _next_version(self) -> int:
+        self._version += self._rng.randint(1, 3)
+        return self._version
+
+    def _change(self, name: str, version: int, item: dict[str, Any] | None) -> ItemChange:
+        change = ItemChange(name, version, item, self._reactor.now())
+        self._record.changes.append(change)
+        return change
+
+    def _send(self, body: dict[str, Any], changes: list[ItemChange]) -> None:
+        self.pending += 1
+        self._call(msgspec.json.encode(body), changes, self._rng.randrange(len(self._core_ips)), RETRY_US)
+
+    def _call(self, body: bytes, changes: list[ItemChange], core: int, retry_us: int) -> None:
+        if self.is_over:
+            return
+
+        def on_done(response: Message | None) -> None:
+            if response is None or response.status >= 500:
+                next_retry_us = min(2 * retry_us, MAX_RETRY_US)
+                self._reactor.after(retry_us, self._call, body, changes, core + 1, next_retry_us)
+                return
+            self.pending -= 1
+            if response.status == 200:
+                for change in changes:
+                    change.acknowledged_at = self._reactor.now()
+
+        self._start_call(b"PATCH", body, core, on_done)
+
+    def _start_call(self, method: bytes, body: bytes, core: int, on_done: Callable[[Message | None], None]) -> None:
+        address = Address(self._core_ips[core % len(self._core_ips)], CONTROL_PORT)
+        HttpCall(self._reactor, address, method, PATH, body, CALL_TIMEOUT_US, on_done)
+
+    def read_back(self, on_read: Callable[[dict[str, dict[str, Any]]], None], core: int = 0) -> None:
+        """Read the configuration until an answer comes; pass on the routes by their names."""
+
+        def on_done(response: Message | None) -> None:
+            if response is None or response.status != 200:
+                self._reactor.after(RETRY_US, self.read_back, on_read, core + 1)
+                return
+            listeners = msgspec.json.decode(bytes(response.body))["Listeners"]
+            on_read({item["Name"]: item for listener in listeners for item in listener["Policy"]})
+
+        self._start_call(b"GET", b"", core, on_done)
--- a/tests/mesh/test_loopback.py
+++ b/tests/mesh/test_loopback.py
@@ -11,7 +11,8 @@
 import pytest
 
 from lilacsill.mesh.runtime.metrics_server import PROXY_PORT, REGISTRY_PORT, STORE_PORT
-from lilacsill.mesh.simulation.loopback import INTERNAL, Fair, rules
+from lilacsill.mesh.simulation.loopback import Fair, rules
+from lilacsill.mesh.simulation.loopback_processes import INTERNAL_PORTS, Program
 
 # Machines of the mesh are addresses of loopback with fixed ports: two meshes at once would meet.
 pytestmark = pytest.mark.xdist_group("mesh on loopback")
@@ -60,9 +61,9 @@
         assert not (fair.served - before)["failed"]
         # Operators ask the processes themselves.
         for program, port, ip in (
-            ("lilacsill.mesh.store", INTERNAL[0] + 1, fair.cores[1]),
-            ("lilacsill.mesh.registry", INTERNAL[0], fair.cores[1]),
-            ("lilacsill.mesh.proxy", INTERNAL[0], fair.sidecars[0]),
+            ("lilacsill.mesh.store", INTERNAL_PORTS[0] + 1, fair.cores[1]),
+            ("lilacsill.mesh.registry", INTERNAL_PORTS[0], fair.cores[1]),
+            ("lilacsill.mesh.proxy", INTERNAL_PORTS[0], fair.sidecars[0]),
         ):
             report = subprocess.run(
                 [sys.executable, "-m", program, "status", f"{ip}:{port}"], capture_output=True, check=True
@@ -75,14 +76,14 @@
                 "-m",
                 "lilacsill.mesh.store",
                 "history",
-                f"{fair.cores[1]}:{INTERNAL[0] + 1}",
+                f"{fair.cores[1]}:{INTERNAL_PORTS[0] + 1}",
                 "--name=more",
             ],
             capture_output=True,
             check=True,
         )
         assert b"r2" in history.stdout and b"/more/" in history.stdout
-        store = f"{fair.cores[1]}:{INTERNAL[0] + 1}"
+        store = f"{fair.cores[1]}:{INTERNAL_PORTS[0] + 1}"
         export = subprocess.run(
             [sys.executable, "-m", "lilacsill.mesh.store", "export", store], capture_output=True, check=True
         )
@@ -92,7 +93,7 @@
             ran = subprocess.run([sys.executable, "-m", "lilacsill.mesh.store", *command], capture_output=True)
             assert wanted in ran.stdout + ran.stderr, ran
         # One that leaves in order ends what it holds, and says so with its status.
-        leaving = fair.terminate("proxy", fair.sidecars[1])
+        leaving = fair.terminate(Program.PROXY, fair.sidecars[1])
         assert fair.until(lambda: leaving.poll() is not None, PATIENCE_S) and leaving.returncode == 0
         assert not fair.doubled()
         # Nothing that ran was lost: not with the core machine, nor with the proxy that left with writes in hand.
