--- a/lilacsill/mesh/proxy/forwarded_request.py
+++ b/lilacsill/mesh/proxy/forwarded_request.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from lilacsill.http1.message import Message as HttpMessage
+from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import BodyChunk, Headers, NoResponse, Offer, Rejected, Response
 from lilacsill.mesh.runtime.reactor import Reactor
 
@@ -20,7 +21,7 @@
 from .backend_request import MAX_BUFFERED_BYTES
 from .endpoint_table import EndpointLoad
 from .exchange import Exchange, Outcome
-from .reasons import RejectionReason
+from .reasons import FailureReason, RejectionReason
 from .request_body import RequestBody
 from .request_counters import RequestCounters
 from .response_writer import ResponseWriter, retry_after
@@ -134,8 +135,14 @@
         if self._exchange is not None:
             self._exchange.cancel()
 
+    @property
+    def _attempt_id(self) -> str:
+        return self._request.fields.get(b"attempt-id", b"").decode("latin-1")
+
     def break_off(self) -> None:
         """Answer at once, since the process ends. The request may have run."""
+        self._owner.counters.broken_off += 1
+        log.info("%s broken off after %d attempts", self._attempt_id, self._history.arrivals)
         self._on_timeout()
 
     # Attempts
@@ -202,7 +209,7 @@
         elif self._is_streaming:
             self._abort_response()
         else:
-            self._on_failed_attempt(self._end_attempt(message))
+            self._on_failed_attempt(self._end_attempt(message), message.reason)
 
     def on_unreachable(self) -> None:
         """Handle that no link could be opened: the request was offered to nobody."""
@@ -223,7 +230,7 @@
             return
         entry = self._end_attempt(None)
         self._table.eject(entry, self._owner.reactor.now())
-        self._on_failed_attempt(entry)
+        self._on_failed_attempt(entry, FailureReason.LINK_LOST)
 
     def _on_rejected(self, message: Rejected) -> None:
         self._owner.counters.rejections[message.reason] += 1
@@ -277,8 +284,10 @@
         if unsent > MAX_BUFFERED_BYTES and self._exchange is not None:
             self._exchange.pause()
 
-    def _on_failed_attempt(self, entry: EndpointLoad) -> None:
+    def _on_failed_attempt(self, entry: EndpointLoad, reason: str) -> None:
         """The attempt may have run: an idempotent request may be retried, another one may not."""
+        self._owner.counters.failed_attempts[reason] += 1
+        log.info("%s attempt at %s failed: %s", self._attempt_id, entry.endpoint.node, reason)
         self._history.record_failed(entry)
         if self._route.is_idempotent and self._may_retry():
             self._start_attempt()
--- a/lilacsill/mesh/proxy/metrics.py
+++ b/lilacsill/mesh/proxy/metrics.py
@@ -31,6 +31,10 @@
     text.counter("retries", "Attempts after one that reached a backend", counters.retries)
     text.counter_by("reason", "offers_rejected", "Offers that another proxy rejected", counters.rejections)
     text.counter("offers_unreachable", "Offers for which no link could be opened", counters.unreachable)
+    text.counter_by(
+        "reason", "attempts_failed", "Attempts that may have run and had no response", counters.failed_attempts
+    )
+    text.counter("requests_broken_off", "Requests answered because this process ends", counters.broken_off)
     text.gauge("requests_in_flight", "Requests of clients of this machine", len(forwarder.in_flight))
 
 
--- a/lilacsill/mesh/proxy/reasons.py
+++ b/lilacsill/mesh/proxy/reasons.py
@@ -27,3 +27,4 @@
     MALFORMED_RESPONSE = "what came is no answer"
     CONNECTION_CLOSED = "the connection ended"
     INTERNAL_ERROR = "failed here"
+    LINK_LOST = "the link ended"  # to the proxy beside the backend; never on the wire
--- a/lilacsill/mesh/proxy/request_counters.py
+++ b/lilacsill/mesh/proxy/request_counters.py
@@ -15,3 +15,5 @@
         self.rejections: Counter[str] = Counter()  # offers that another proxy rejected, by its reason
         self.unreachable = 0  # offers for which no link could be opened
         self.retries = 0  # attempts after one that reached a backend
+        self.failed_attempts: Counter[str] = Counter()  # attempts that may have run, without a response, by reason
+        self.broken_off = 0  # requests that were answered because this process ends
--- a/lilacsill/mesh/proxy/shutdown_sequence.py
+++ b/lilacsill/mesh/proxy/shutdown_sequence.py
@@ -70,6 +70,10 @@
             # The backend may still be at work on these. Answers that wait behind them on their connections are sent.
             for request in list(self._forwarder.in_flight):
                 request.break_off()
+            if self._forwarder.counters.broken_off:
+                log.warning(
+                    "%d requests broken off at the end of the grace period", self._forwarder.counters.broken_off
+                )
         if is_late or (elapsed_us > NOTICE_US and not self._is_busy):
             self._clients.listener.close()
             self._offer_server.close()
@@ -81,6 +85,8 @@
     def _stop(self, started_at: int) -> None:
         elapsed_us = self._reactor.now() - started_at
         if elapsed_us > self._grace_us - self._kill_margin_us // 2 or not self._is_busy:
+            if self._forwarder.counters.failed_attempts:
+                log.flush()
             self._reactor.stop()
         else:
             self._reactor.after(CHECK_US, self._stop, started_at)
