The log writes its lines: the logger had no level and dropped all of them

Callers saw nothing on standard error, whatever went wrong: picologging's Logger without a level is enabled for no line, unlike logging's. Seen as the soak's log files stayed empty though requests had been broken off.

Ruled out: the process's end (standard error is flushed before it).

Change: the level is WARNING.

--- a/lilacsill/mesh/runtime/log_ring.py
+++ b/lilacsill/mesh/runtime/log_ring.py
@@ -51,7 +51,7 @@
         if self._writer is None:
             import picologging
 
-            self._writer = picologging.Logger("mesh")
+            self._writer = picologging.Logger("mesh", picologging.WARNING)  # without a level it drops every line
             self._writer.addHandler(picologging.StreamHandler())
         self._writer.warning("%s", "\n".join(self._lines))
         self._lines.clear()
