A leaving proxy takes late requests by their deadline alone

Cause: of a request with a far deadline the route's target and twelve times its usual work were taken for the longest that it lasts. Work on one route may differ 75-fold and a backend may become slow, so the usual says nothing of one request. Class of fault: a forecast where a bound is needed.

Change: after clients have had the time to notice, a request is taken only if its deadline lies before the break-off; any other gets 503 with Retry-After before a backend has it.

--- a/lilacsill/mesh/proxy/forwarder.py
+++ b/lilacsill/mesh/proxy/forwarder.py
@@ -83,6 +83,4 @@
 
     def _can_finish(self, shutdown: GracefulShutdown, request: HttpMessage, route: Route) -> bool:
         time_left_us = min(client_patience_us(request), route.timeout_us)
-        usual_ms = self.statistics.usual_ms(route.name)
-        usual_us = None if usual_ms is None else usual_ms * 1000
-        return shutdown.can_finish(self.reactor.now(), time_left_us, route.target_us, usual_us)
+        return shutdown.can_finish(self.reactor.now(), time_left_us)
--- a/lilacsill/mesh/proxy/graceful_shutdown.py
+++ b/lilacsill/mesh/proxy/graceful_shutdown.py
@@ -11,8 +11,6 @@
 # The platform excuses what is broken off at work in the last sixth of the grace period; before that it is lost.
 BREAK_OFF_SHARE = 1 / 8
 MAX_KILL_MARGIN_US = 500_000
-# Work of a request, as a multiple of the usual: the longest is about six times the mean, at a backend half as fast.
-MAX_WORK_FACTOR = 12
 
 
 def kill_margin_us(grace_us: int) -> int:
@@ -26,21 +24,13 @@
     take_all_until: int  # before this, clients have not had the time to see that the proxy is not ready
     break_off_at: int  # requests that are still in flight get an answer of the proxy's own
 
-    def can_finish(self, now: int, time_left_us: int, target_us: int, usual_us: int | None) -> bool:
+    def can_finish(self, now: int, time_left_us: int) -> bool:
         """Return whether a request that arrives now ends before it would be broken off.
 
-        A request ends at its deadline at the latest. Where clients allow much more time than their requests take, the
-        usual time decides: a request waits for a backend no longer than its target, and its work is bounded.
+        Only its deadline bounds how long a request lasts: what others of its route have taken does not.
 
         Args:
             now: The time of its arrival.
             time_left_us: The time until its deadline, of its client or its route.
-            target_us: The latency target of its route.
-            usual_us: What such a request usually takes at a backend; None where too few were seen.
         """
-        if now < self.take_all_until:
-            return True
-        needed_us = time_left_us
-        if usual_us is not None:
-            needed_us = min(needed_us, target_us + MAX_WORK_FACTOR * usual_us)
-        return now + needed_us <= self.break_off_at
+        return now < self.take_all_until or now + time_left_us <= self.break_off_at
--- a/tests/mesh/proxy/test_graceful_shutdown.py
+++ b/tests/mesh/proxy/test_graceful_shutdown.py
@@ -7,7 +7,7 @@
 
 from lilacsill.address import Address
 from lilacsill.http1.message import Message
-from lilacsill.mesh.proxy.graceful_shutdown import MAX_WORK_FACTOR, GracefulShutdown
+from lilacsill.mesh.proxy.graceful_shutdown import GracefulShutdown
 from lilacsill.mesh.proxy.process import Process
 from lilacsill.mesh.runtime.messages import Endpoint
 from lilacsill.mesh.runtime.settings import TimingBounds
@@ -20,29 +20,21 @@
 
 
 @pytest.mark.parametrize(
-    ("now", "time_left_us", "usual_us", "can_finish"),
+    ("now", "time_left_us", "can_finish"),
     [
-        pytest.param(13 * S - 1, 60 * S, None, True, id="clients cannot have noticed yet"),
-        pytest.param(13 * S, 60 * S, None, False, id="nothing is known of its route"),
-        pytest.param(13 * S, 2 * S, None, True, id="its deadline comes first"),
-        pytest.param(13 * S, 2 * S + 1, None, False, id="its deadline comes too late"),
-        pytest.param(13 * S, 60 * S, 100 * MS, True, id="far deadline, short work"),
-        pytest.param(13 * S, 60 * S, 200 * MS, False, id="far deadline, long work"),
-        pytest.param(14_300 * MS, 800 * MS, 60 * MS, False, id="late in the grace period"),
-        pytest.param(15 * S, 1, 1, False, id="everything is broken off"),
+        pytest.param(13 * S - 1, 60 * S, True, id="clients cannot have noticed yet"),
+        pytest.param(13 * S, 60 * S, False, id="its deadline is far"),
+        pytest.param(13 * S, 2 * S, True, id="its deadline comes first"),
+        pytest.param(13 * S, 2 * S + 1, False, id="its deadline comes too late"),
+        pytest.param(14_300 * MS, 700 * MS, True, id="late in the grace period, near deadline"),
+        pytest.param(14_300 * MS, 800 * MS, False, id="late in the grace period"),
+        pytest.param(15 * S, 1, False, id="everything is broken off"),
     ],
 )
-def test_a_request_is_taken_while_it_ends_before_the_break_off(
-    now: int, time_left_us: int, usual_us: int | None, can_finish: bool
+def test_a_request_is_taken_while_its_deadline_lies_before_the_break_off(
+    now: int, time_left_us: int, can_finish: bool
 ) -> None:
-    assert SHUTDOWN.can_finish(now, time_left_us, 200 * MS, usual_us) is can_finish
-
-
-def test_the_usual_time_is_weighed_with_the_wait_for_a_backend() -> None:
-    usual_us, target_us = 50 * MS, 250 * MS
-    latest = SHUTDOWN.break_off_at - target_us - MAX_WORK_FACTOR * usual_us
-    assert SHUTDOWN.can_finish(latest, 60 * S, target_us, usual_us)
-    assert not SHUTDOWN.can_finish(latest + 1, 60 * S, target_us, usual_us)
+    assert SHUTDOWN.can_finish(now, time_left_us) is can_finish
 
 
 class Leaving:
--- a/tests/rules/defects.py
+++ b/tests/rules/defects.py
@@ -116,7 +116,7 @@
 
 
 def late_requests_are_taken(patch: Patch) -> None:
-    patch.setattr(GracefulShutdown, "can_finish", lambda self, now, time_left_us, target_us, usual_us: True)
+    patch.setattr(GracefulShutdown, "can_finish", lambda self, now, time_left_us: True)
 
 
 # Shares
