A read whose backend may not answer is given up only where another attempt is allowed

What callers saw: a 502 of the proxy's own 0.1 to 2.1 s after a read, with seconds left, while its backend was at work; LOST where the proxy had got SIGTERM (15 of 16 traced cases: a load report counted fewer requests; one: the backend seemed silent).

Cause: the proxy beside the backend dropped the work by itself, and whether a retry was left only the sender knows. Class of fault: an irreversible step on a suspicion, taken by the one who lacks the fact that decides it. Looked for elsewhere: a write at a silent backend waits already; a broken connection, a malformed or unsealed response is no suspicion; a streamed response was cut on the same suspicion, and no more.

Change: the message Suspected goes to the sender and the exchange goes on. The sender tries a read elsewhere if the route, the retry budget and an endpoint allow it; otherwise it waits for the response until the deadline.

--- a/lilacsill/mesh/proxy/backend_monitor.py
+++ b/lilacsill/mesh/proxy/backend_monitor.py
@@ -45,11 +45,15 @@
         now = self._reactor.now()
         was_stalled, self._checked_at = now - self._checked_at > CHECK_US + STALLED_US, now
         if not was_stalled:
-            self._check_in_flight([request for request in self._requests if request.is_in_flight], now)
+            self._check_in_flight(self._in_flight(), now)
         self._running = bool(self._requests)
         if self._running:
             self._reactor.after(CHECK_US, self._check)
 
+    def _in_flight(self) -> list[BackendRequest]:
+        """Return the requests that the backend should have, without those whose senders know better already."""
+        return [request for request in self._requests if request.is_in_flight and not request.is_suspected]
+
     def _check_in_flight(self, in_flight: list[BackendRequest], now: int) -> None:
         for request in in_flight:
             self._check_overdue(request, now)
@@ -68,7 +72,7 @@
             self._admission.failure_rate.record(False, now)
 
     def _on_silent(self, in_flight: list[BackendRequest], now: int) -> None:
-        """Open the circuit breaker, and give up all reads, which are retried elsewhere.
+        """Open the circuit breaker, and tell the senders of all reads, which may try them elsewhere.
 
         Whether a write has run is not known, so it waits until its time is up.
         """
@@ -78,10 +82,10 @@
         self._pool.close_idle()
         for request in in_flight:
             if request.idempotent:
-                request.on_lost(FailureReason.BACKEND_SILENT)
+                request.suspect(FailureReason.BACKEND_SILENT)
 
     def on_report(self, report: bytes, answered: BackendRequest) -> None:
-        """Take a backend's report of its load, and give up a request that it has lost.
+        """Take a backend's report of its load, and suspect a request that it seems to have lost.
 
         Args:
             report: The value of the `Server-Load` header of a response; it counts the answered request, too.
@@ -91,14 +95,14 @@
         # What was sent a moment ago may have come after the report was made.
         known = [
             request
-            for request in self._requests
-            if request.is_in_flight and (request is answered or now - request.admission.started_at > KNOWN_AFTER_US)
+            for request in self._in_flight()
+            if (request is answered or now - request.admission.started_at > KNOWN_AFTER_US)
         ]
         if self._lost_requests.record_report(report, len(known)):
-            self._give_up_oldest([request for request in known if request is not answered], now)
+            self._suspect_oldest([request for request in known if request is not answered], now)
 
-    def _give_up_oldest(self, in_flight: list[BackendRequest], now: int) -> None:
-        """Give up the oldest overdue read. A write is never given up: it may run."""
+    def _suspect_oldest(self, in_flight: list[BackendRequest], now: int) -> None:
+        """Suspect the oldest overdue read. A write is never tried elsewhere: it may run."""
         overdue = [
             request
             for request in in_flight
@@ -107,4 +111,4 @@
         ]
         if overdue:
             oldest = min(overdue, key=lambda request: request.admission.started_at)
-            oldest.on_lost(FailureReason.BACKEND_LOST_IT)
+            oldest.suspect(FailureReason.BACKEND_LOST_IT)
--- a/lilacsill/mesh/proxy/backend_request.py
+++ b/lilacsill/mesh/proxy/backend_request.py
@@ -1,7 +1,7 @@
 """One offered request on its way through admission to the backend, and the response on its way back.
 
 The sender of the offer gets exactly one outcome: `Rejected` (a guarantee: the request has not run and never will),
-a response of the backend, or `NoResponse` (the request may have run).
+a response of the backend, or `NoResponse` (the request may have run). `Suspected` may precede it where none may come.
 """
 
 from __future__ import annotations
@@ -10,7 +10,17 @@
 from typing import Protocol
 
 from lilacsill.http1.message import Message as HttpMessage
-from lilacsill.mesh.runtime.messages import BodyChunk, Headers, Load, Message, NoResponse, Offer, Rejected, Response
+from lilacsill.mesh.runtime.messages import (
+    BodyChunk,
+    Headers,
+    Load,
+    Message,
+    NoResponse,
+    Offer,
+    Rejected,
+    Response,
+    Suspected,
+)
 
 from .admission import AdmissionController, AdmissionRequest
 from .backend_connection import BackendConnection, end_to_end_headers
@@ -80,6 +90,7 @@
         self.idempotent = offer.idempotent
         self.is_over = False
         self.is_overdue = False  # set by the monitor
+        self.is_suspected = False  # its sender knows that the backend may not answer
         self._deadline = gateway.now() + offer.time_left_ms * 1000
         self._connection: BackendConnection | None = None
         self._unsent_chunks: list[BodyChunk] = []  # of the body, before there is a connection
@@ -105,6 +116,16 @@
         """Whether the backend should have it."""
         return self._connection is not None and not self.is_over
 
+    # Calls of the monitor
+
+    def suspect(self, reason: FailureReason) -> None:
+        """Let the sender know that the backend may not answer; a response that comes is passed on all the same."""
+        if self.is_over or self._streaming or self.is_suspected:
+            return
+        self.is_suspected = True
+        self._gateway.admission.failure_rate.record(False, self._gateway.now())
+        self._sink.send(Suspected(reason, self._gateway.load()))
+
     # Calls of the sender
 
     def send_body(self, body_chunk: BodyChunk) -> None:
--- a/lilacsill/mesh/proxy/exchange.py
+++ b/lilacsill/mesh/proxy/exchange.py
@@ -7,7 +7,7 @@
 
 from typing import Protocol
 
-from lilacsill.mesh.runtime.messages import BodyChunk, Message, NoResponse, Offer, Rejected, Response
+from lilacsill.mesh.runtime.messages import BodyChunk, Message, NoResponse, Offer, Rejected, Response, Suspected
 from lilacsill.mesh.runtime.reactor import Reactor
 
 from .backend_gateway import BackendGateway
@@ -22,6 +22,9 @@
     def on_outcome(self, message: Outcome) -> None:
         """Handle an outcome. Body chunks follow an incomplete response, or `NoResponse` where it is truncated."""
 
+    def on_suspected(self, message: Suspected) -> None:
+        """Handle that the backend may not answer; an outcome may still come."""
+
     def on_unreachable(self) -> None:
         """Handle that no link could be opened: the request was not offered."""
 
@@ -63,8 +66,12 @@
         self._reactor.call_soon(self._deliver, message)
         return 0
 
-    def _deliver(self, message: Outcome) -> None:
-        if self._listener is not None:
+    def _deliver(self, message: Outcome | Suspected) -> None:
+        if self._listener is None:
+            return
+        if isinstance(message, Suspected):
+            self._listener.on_suspected(message)
+        else:
             self._listener.on_outcome(message)
 
     def send_body(self, chunk: BodyChunk) -> None:
--- a/lilacsill/mesh/proxy/exchange_links.py
+++ b/lilacsill/mesh/proxy/exchange_links.py
@@ -11,7 +11,7 @@
 
 from lilacsill.address import Address
 from lilacsill.mesh.runtime.link import Link, connect
-from lilacsill.mesh.runtime.messages import BodyChunk, Message, NoResponse, Offer, Response
+from lilacsill.mesh.runtime.messages import BodyChunk, Message, NoResponse, Offer, Response, Suspected
 from lilacsill.mesh.runtime.reactor import Reactor
 
 from .exchange import Outcome, OutcomeListener
@@ -77,9 +77,12 @@
 
     def _on_message(self, link: Link, number: int, message: Message) -> None:
         listener = self._listener
-        if listener is None or number != self._number or not isinstance(message, Outcome):
+        if listener is None or number != self._number or not isinstance(message, Outcome | Suspected):
             link.close()
             return
+        if isinstance(message, Suspected):
+            listener.on_suspected(message)
+            return
         if not self._is_expected(message):
             link.close()
             return
--- a/lilacsill/mesh/proxy/forwarded_request.py
+++ b/lilacsill/mesh/proxy/forwarded_request.py
@@ -13,7 +13,15 @@
 
 from lilacsill.http1.message import Message as HttpMessage
 from lilacsill.mesh.runtime.log_ring import log
-from lilacsill.mesh.runtime.messages import BodyChunk, Headers, NoResponse, Offer, Rejected, Response
+from lilacsill.mesh.runtime.messages import (
+    BodyChunk,
+    Headers,
+    NoResponse,
+    Offer,
+    Rejected,
+    Response,
+    Suspected,
+)
 from lilacsill.mesh.runtime.reactor import Reactor
 
 from .attempts import AttemptHistory
@@ -180,7 +188,7 @@
             expected_ms=self._owner.statistics.usual_ms(route.name) or 0,
         )
 
-    def _end_attempt(self, outcome: Rejected | Response | NoResponse | None) -> EndpointLoad:
+    def _end_attempt(self, outcome: Rejected | Response | NoResponse | Suspected | None) -> EndpointLoad:
         """Return the endpoint of the attempt that is over; its outcome, if there is one, brings its load."""
         attempt, self._attempt, self._exchange = self._attempt, None, None
         assert attempt is not None
@@ -211,6 +219,20 @@
         else:
             self._on_failed_attempt(self._end_attempt(message), message.reason)
 
+    def on_suspected(self, message: Suspected) -> None:
+        """Try a read elsewhere, if one more attempt is allowed; otherwise the backend may still answer in time."""
+        exchange = self._exchange
+        if self.is_over or self._is_streaming or exchange is None or not self._route.is_idempotent:
+            return
+        if self._history.choose_next(self._table, self._owner.reactor.now()) is None:
+            return
+        if not self._may_retry(arrivals=self._history.arrivals + 1):
+            return
+        entry = self._end_attempt(message)
+        exchange.cancel()
+        self._record_failed(entry, message.reason)
+        self._start_attempt()
+
     def on_unreachable(self) -> None:
         """Handle that no link could be opened: the request was offered to nobody."""
         if self.is_over:
@@ -286,9 +308,7 @@
 
     def _on_failed_attempt(self, entry: EndpointLoad, reason: str) -> None:
         """The attempt may have run: an idempotent request may be retried, another one may not."""
-        self._owner.counters.failed_attempts[reason] += 1
-        log.info("%s attempt at %s failed: %s", self._attempt_id, entry.endpoint.node, reason)
-        self._history.record_failed(entry)
+        self._record_failed(entry, reason)
         if self._route.is_idempotent and self._may_retry():
             self._start_attempt()
         elif self._owner.reactor.now() >= self._deadline:
@@ -296,11 +316,20 @@
         else:
             self._respond(502, [], b"the backend gave no answer\n")
 
-    def _may_retry(self) -> bool:
-        """Return whether one more arrival is allowed; then it is taken out of the retry budget."""
+    def _record_failed(self, entry: EndpointLoad, reason: str) -> None:
+        self._owner.counters.failed_attempts[reason] += 1
+        log.info("%s attempt at %s failed: %s", self._attempt_id, entry.endpoint.node, reason)
+        self._history.record_failed(entry)
+
+    def _may_retry(self, arrivals: int | None = None) -> bool:
+        """Return whether an arrival after `arrivals` is allowed; then it is taken out of the retry budget.
+
+        Without `arrivals`, those that are recorded count.
+        """
+        arrivals = self._history.arrivals if arrivals is None else arrivals
         now = self._owner.reactor.now()
         may_retry = (
-            self._history.arrivals < self._route.max_attempts
+            arrivals < self._route.max_attempts
             and self._deadline - now > MIN_ATTEMPT_US
             and self._body.is_kept
             and self._owner.upstreams.try_retry(self._service, now)
--- a/lilacsill/mesh/proxy/offer_server.py
+++ b/lilacsill/mesh/proxy/offer_server.py
@@ -22,6 +22,7 @@
     Response,
     Status,
     StatusReply,
+    Suspected,
 )
 from lilacsill.mesh.runtime.reactor import Reactor
 
@@ -119,6 +120,8 @@
 def _ends_exchange(message: Message) -> bool:
     if isinstance(message, Response):
         return message.body_complete
+    if isinstance(message, Suspected):
+        return False
     return not isinstance(message, BodyChunk) or message.last
 
 
--- a/lilacsill/mesh/runtime/messages/__init__.py
+++ b/lilacsill/mesh/runtime/messages/__init__.py
@@ -36,7 +36,7 @@
     ViewChangeReply,
 )
 from .discovery import Gossip, GossipReply, IndirectPing, IndirectPingReply, Ping, Poll, PollReply
-from .proxying import BodyChunk, NoResponse, Offer, Rejected, Response
+from .proxying import BodyChunk, NoResponse, Offer, Rejected, Response, Suspected
 from .replication import Replicate, ReplicateReply, Summary, SummaryRequest
 
 AnyMessage = (
@@ -45,6 +45,7 @@
     | Rejected
     | Response
     | NoResponse
+    | Suspected
     | Poll
     | PollReply
     | Ping
@@ -141,6 +142,7 @@
     "StatusReply",
     "Summary",
     "SummaryRequest",
+    "Suspected",
     "Suspect",
     "SuspicionReport",
     "View",
--- a/lilacsill/mesh/runtime/messages/proxying.py
+++ b/lilacsill/mesh/runtime/messages/proxying.py
@@ -59,6 +59,16 @@
     load: Load
 
 
+class Suspected(Message):
+    """The backend may not answer the request: it seems to have lost it, or to be silent. The exchange goes on.
+
+    The sender decides whether to wait or to end the exchange and try elsewhere.
+    """
+
+    reason: str
+    load: Load
+
+
 class NoResponse(Message, tag="Unanswered"):
     """The request was passed to the backend and there will be no response: it may have been executed."""
 
--- a/tests/control/point_5_world.py
+++ b/tests/control/point_5_world.py
@@ -17,6 +17,7 @@
     Offer,
     Rejected,
     Response,
+    Suspected,
     encode,
 )
 from lilacsill.mesh.runtime.reactor import Reactor
@@ -69,6 +70,9 @@
         self.lost = 0
         self.then: Callable[[Message], None] = lambda message: None
 
+    def on_suspected(self, message: Suspected) -> None:
+        self.messages.append(message)
+
     def on_outcome(self, message: Rejected | Response | NoResponse | BodyChunk) -> None:
         self.messages.append(message)
         self.then(message)
--- a/tests/mesh/proxy/test_answers_for_a_backend_at_work.py
+++ b/tests/mesh/proxy/test_answers_for_a_backend_at_work.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from tests.control.point_5_world import statuses
+from lilacsill.mesh.runtime.messages import Suspected
+from tests.control.point_5_world import IDLE, ScriptedProxy, add_scripted, ask, statuses, whole
 from tests.mesh.proxy.test_graceful_shutdown import Leaving
 from tests.mesh.stage import Stage, request, stage
 
@@ -62,6 +63,40 @@
         assert len(backend.ran) == 2
 
 
+# The same at the other proxy: a suspicion alone ends nothing, and what comes after it is the response.
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_a_response_after_a_suspicion_is_passed_on(method: str, no_retry_left: None) -> None:
+    with stage() as s:
+        suspected = Suspected("its backend is silent", IDLE)
+        proxy = ScriptedProxy(s.reactor, lambda number, offer: [(number, suspected), (number, whole(b"late"))])
+        add_scripted(s, proxy)
+        client = ask(s, method, "/reads/a" if method == "GET" else "/writes/a")
+        assert statuses(s, client) == [200] and bytes(client.answers[0].body) == b"late"
+        assert len(proxy.offers) == 1
+
+
+def test_a_suspected_read_goes_elsewhere_while_a_retry_is_left() -> None:
+    with stage() as s:
+        s.add("one")
+        suspected = Suspected("its backend is silent", IDLE)
+        proxy = ScriptedProxy(s.reactor, lambda number, offer: [(number, suspected)])
+        add_scripted(s, proxy)
+        client = ask(s, "GET", "/reads/a")
+        assert statuses(s, client) == [200] and len(s.backends["one"].ran) == 1
+        s.until(lambda: not any(link.is_open for link in proxy.links), "the first attempt is withdrawn")
+        assert s.forwarder.counters.failed_attempts == {"its backend is silent": 1}
+
+
+def test_a_suspected_write_is_never_sent_elsewhere() -> None:
+    with stage() as s:
+        s.add("one")
+        suspected = Suspected("its backend is silent", IDLE)
+        proxy = ScriptedProxy(s.reactor, lambda number, offer: [(number, suspected)])
+        add_scripted(s, proxy)
+        assert statuses(s, ask(s, "POST", "/writes/a", left_ms=300)) == [504]
+        assert not s.backends["one"].ran
+
+
 def answered_behind_a_slow_one(s: Stage) -> None:
     """Wait until the second of two pipelined requests has its response, which waits behind the first."""
     s.until(lambda: len(s.forwarder.in_flight) == 1, "the second request has its response")
