Load reports of backends that do not count the request they answer

What callers saw: reads tried twice, or given up, though nothing was lost: the backend's reports were always one lower than what had been sent to it.

A refused request is in no report either, and its response was compared all the same.

Change: a report of 0 shows that the answered request does not count; from then on one is added. Reports of refused requests are left out. Test: test_a_backend_that_does_not_count_the_request_it_answers_has_lost_none fails without the change (the second report of 2 for 3 sent is taken for a loss).

--- a/lilacsill/mesh/proxy/backend_request.py
+++ b/lilacsill/mesh/proxy/backend_request.py
@@ -238,7 +238,7 @@
         not_run = self._is_not_run(response)
         failure = self._failure_reason(response)
         report = response.fields.get(b"server-load")
-        if report is not None:
+        if report is not None and not not_run:  # one that was refused is not in its own report
             gateway.monitor.on_report(report, self)
         self._connection = None
         now = gateway.now()
--- a/lilacsill/mesh/proxy/lost_requests.py
+++ b/lilacsill/mesh/proxy/lost_requests.py
@@ -4,6 +4,8 @@
 proxy beside it, so fewer than were sent means that one is lost. Responses may cross each other on their way, so a
 single report proves nothing: after two reports in a row with too few, the oldest overdue read is taken for the lost
 request.
+
+Some backends count the request that they answer, others do not. A report of none comes from the second kind only.
 """
 
 from __future__ import annotations
@@ -19,6 +21,7 @@
 
     def __init__(self) -> None:
         self._reports_with_fewer = 0  # in a row
+        self._counts_answered = True  # whether the backend's reports include the request that they come with
 
     def record_report(self, report: bytes, sent: int) -> bool:
         """Compare one report with what was sent. Return whether one request may be taken for lost.
@@ -30,7 +33,9 @@
         reported = reported_requests(report)
         if reported is None:
             return False
-        if reported >= sent:
+        if reported == 0:
+            self._counts_answered = False
+        if reported + (not self._counts_answered) >= sent:
             self._reports_with_fewer = 0
             return False
         self._reports_with_fewer += 1
--- a/tests/mesh/proxy/test_lost_requests.py
+++ b/tests/mesh/proxy/test_lost_requests.py
@@ -22,6 +22,14 @@
     assert not detector.record_report(b"2,0,4", 3)
 
 
+# Guards against reads that are taken for lost one after the other at a backend that leaves out what it answers.
+def test_a_backend_that_does_not_count_the_request_it_answers_has_lost_none() -> None:
+    detector = LostRequestDetector()
+    assert not detector.record_report(b"0,0,4", 1)
+    assert not any(detector.record_report(b"2,0,4", 3) for _ in range(3))
+    assert not detector.record_report(b"1,0,4", 3) and detector.record_report(b"1,0,4", 3)
+
+
 @pytest.mark.parametrize("report", [b"nonsense", b"", b"1,0", b"1,x,4", b"-1,0,4"])
 def test_a_malformed_report_says_nothing(report: bytes) -> None:
     detector = LostRequestDetector()
