The last response before a close announces it, also if it was ready before SIGTERM

Cause: the header was written when a response was ready, not when it was sent. One that waited behind a slow one was encoded before the signal; the connection was closed behind it. The same for a long response whose head had gone out. Class of fault: a decision written down before the fact it depends on.

Change: the head is encoded as it is sent; where the last head has gone out, the connection serves one more request and that response announces the close.

--- a/lilacsill/mesh/proxy/client_connection.py
+++ b/lilacsill/mesh/proxy/client_connection.py
@@ -157,10 +157,6 @@
 
     # Responses
 
-    def is_last(self, response: PendingResponse) -> bool:
-        """Whether the connection closes after this response."""
-        return self._is_closing and response is self._responses[-1]
-
     def flush(self, response: PendingResponse) -> int:
         """Send what is in order. Returns how many bytes of this response the client has not taken."""
         if self.closed or self.stream is None:
@@ -180,13 +176,13 @@
                 break
         if not self.closed and len(self._responses) < MAX_IN_FLIGHT and self._pipelined:
             self._owner.reactor.call_soon(self._forward_pipelined)
-        return self.unsent + len(response.buffered)
+        return self.unsent + response.unsent
 
     def _send_buffered(self, response: PendingResponse) -> None:
-        if not response.buffered:
+        data = response.take(closes=self._is_closing and response is self._responses[-1])
+        if not data:
             return
-        self.send(bytes(response.buffered))
-        response.buffered.clear()
+        self.send(data)
         if not self.unsent and response.forwarded is not None:
             response.forwarded.resume_response()  # it may have been paused while it waited for the responses before it
 
@@ -210,9 +206,13 @@
     # The end
 
     def start_draining(self) -> None:
-        """Close after the responses that are pending; clients send requests that waited behind them elsewhere."""
-        self._is_closing = self._is_closing or bool(self._responses)
-        self._pipelined.clear()
+        """Close after the responses that are pending; clients send requests that waited behind them elsewhere.
+
+        Where the last head has gone out without `Connection: close`, the next response announces the close.
+        """
+        if self._responses and not self._responses[-1].is_head_sent:
+            self._is_closing = True
+            self._pipelined.clear()
 
     def time_out_head(self) -> None:
         """End a connection whose client has begun a request and does not go on."""
--- a/lilacsill/mesh/proxy/pending_response.py
+++ b/lilacsill/mesh/proxy/pending_response.py
@@ -4,12 +4,15 @@
 
 from typing import Protocol
 
+import msgspec
+
 from lilacsill.http1.message import REASON_PHRASES as COMMON_REASON_PHRASES
 from lilacsill.http1.message import Message, encode_chunk
 from lilacsill.mesh.runtime.messages import Headers
 
 from .forwarded_request import ForwardedRequest
 
+CONNECTION_CLOSE = (b"Connection", b"close")
 REASON_PHRASES = {
     **COMMON_REASON_PHRASES,
     202: "Accepted",
@@ -26,40 +29,64 @@
 class ResponseQueue(Protocol):
     """The connection that sends responses in the order of their requests."""
 
-    def is_last(self, response: PendingResponse) -> bool:
-        """Whether the connection closes after this response."""
-
     def flush(self, response: PendingResponse) -> int:
         """Send what is in order. Returns how many bytes of this response the client has not taken."""
 
 
+class ResponseHead(msgspec.Struct):
+    """Status line and header fields, encoded as they are sent: then it is known whether the connection closes."""
+
+    status: int
+    headers: Headers
+
+    def encode(self, closes: bool) -> bytes:
+        """Return the head with the blank line; `closes`: the connection closes after this response."""
+        headers = [*self.headers, CONNECTION_CLOSE] if closes else self.headers
+        lines = b"".join(b"%b: %b\r\n" % line for line in headers)
+        return b"HTTP/1.1 %d %b\r\n%b\r\n" % (self.status, REASON_PHRASES.get(self.status, "").encode(), lines)
+
+
 class PendingResponse:
     """The response to one request: what of it waits for the responses before it.
 
     It is the `response_writer.ResponseWriter` of its request.
     """
 
-    __slots__ = ("_queue", "_is_chunked", "request", "forwarded", "buffered", "is_complete", "is_aborted")
+    __slots__ = (
+        "_queue",
+        "_is_chunked",
+        "_head",
+        "_body",
+        "request",
+        "forwarded",
+        "is_head_sent",
+        "is_complete",
+        "is_aborted",
+    )
 
     def __init__(self, queue: ResponseQueue, request: Message) -> None:
         self._queue, self.request = queue, request
         self.forwarded: ForwardedRequest | None = None  # None: the proxy answers by itself
-        self.buffered = bytearray()
+        self._head: ResponseHead | None = None  # not sent yet
+        self._body = bytearray()  # not sent yet
         self.is_complete = False  # nothing more will be added to it
         self.is_aborted = False  # it is truncated: the connection is closed after what is there
+        self.is_head_sent = False  # with or without `Connection: close`
         self._is_chunked = False
 
     def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response, without its body where the status or method allows none."""
         has_no_body = status in (204, 304) or self.request.method == b"HEAD"
         length = [] if status == 204 else [(b"Content-Length", b"%d" % len(body))]
-        self._add(self._head(status, [*headers, *length]) + (b"" if has_no_body else body), is_last=True)
+        self._head = ResponseHead(status, [*headers, *length])
+        self._add(b"" if has_no_body else body, is_last=True)
 
     def start_response(self, status: int, headers: Headers, content_length: int | None, body: bytes) -> int:
         """Send the head and the first part of the body."""
         self._is_chunked = content_length is None
         framing = (b"Transfer-Encoding", b"chunked") if content_length is None else _content_length(content_length)
-        return self._add(self._head(status, [*headers, framing]) + self._encode(body), is_last=False)
+        self._head = ResponseHead(status, [*headers, framing])
+        return self._add(self._encode(body), is_last=False)
 
     def send_body(self, data: bytes, is_last: bool) -> int:
         """Send the next part of the body."""
@@ -71,17 +98,28 @@
         self.is_aborted = True
         self._add(b"", is_last=True)
 
+    # For the connection
+
+    @property
+    def unsent(self) -> int:
+        """Bytes of the body that wait for the responses before."""
+        return len(self._body)
+
+    def take(self, closes: bool) -> bytes:
+        """Return what is ready to be sent; `closes`: the connection closes after this response."""
+        head, self._head = self._head, None
+        data = bytes(self._body)
+        self._body.clear()
+        if head is None:
+            return data
+        self.is_head_sent = True
+        return head.encode(closes) + data
+
     def _encode(self, data: bytes) -> bytes:
         return encode_chunk(data) if self._is_chunked and data else data
 
-    def _head(self, status: int, headers: Headers) -> bytes:
-        if self._queue.is_last(self):
-            headers.append((b"Connection", b"close"))
-        lines = b"".join(b"%b: %b\r\n" % line for line in headers)
-        return b"HTTP/1.1 %d %b\r\n%b\r\n" % (status, REASON_PHRASES.get(status, "").encode(), lines)
-
     def _add(self, data: bytes, is_last: bool) -> int:
-        self.buffered += data
+        self._body += data
         self.is_complete = self.is_complete or is_last
         return self._queue.flush(self)
 
--- a/tests/mesh/test_exchanges.py
+++ b/tests/mesh/test_exchanges.py
@@ -227,7 +227,7 @@
 def _held(play: Play, count: int) -> None:
     for _ in range(20):
         play.stage.settle()
-    held = sum(c.unsent + sum(len(r.buffered) for r in c._responses) for c in play.stage.clients.connections)
+    held = sum(c.unsent + sum(r.unsent for r in c._responses) for c in play.stage.clients.connections)
     held += sum(s.link.stream.unsent for d in play.stage.doors.values() for s in d.links)
     held += sum(
         c._reader.current.received
