A leaving proxy stays until clients and proxies have taken what was sent to them

What callers would see: a truncated response, or a 502 for a request that a backend has answered. Found by reading, not seen in a soak: on loopback the kernel takes whole responses.

Cause: the process ended once no request was in flight; the rest of a response that the kernel had not taken was dropped. Class of fault: done is counted before the last byte is handed over.

Change: unsent bytes on connections of clients and links of other proxies keep the process busy, until the end of the grace period at the latest.

--- a/lilacsill/mesh/proxy/client_listener.py
+++ b/lilacsill/mesh/proxy/client_listener.py
@@ -54,8 +54,13 @@
         for connection in self.connections:
             connection.start_draining()
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a client has not taken all that was sent to it."""
+        return any(connection.unsent for connection in self.connections)
+
     def close_idle(self) -> None:
-        """Close the connections on which nothing is in flight."""
+        """Close the connections on which nothing is in flight, each once its client has taken its responses."""
         for connection in list(self.connections):
             if connection.is_idle:
                 connection.close()
--- a/lilacsill/mesh/proxy/offer_server.py
+++ b/lilacsill/mesh/proxy/offer_server.py
@@ -137,6 +137,11 @@
     def _on_accepted(self, sock: socket.socket) -> None:
         self.links.add(OfferLink(self._gateway, self._queries, sock, self.links.discard))
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a proxy has not taken all that was sent to it."""
+        return any(link.link.stream.unsent for link in self.links)
+
     def close(self) -> None:
         """Accept no more links. Those that are open stay."""
         self.listener.close()
--- a/lilacsill/mesh/proxy/shutdown_sequence.py
+++ b/lilacsill/mesh/proxy/shutdown_sequence.py
@@ -1,8 +1,8 @@
 """What a proxy does from SIGTERM to its exit.
 
 1. It announces that it leaves, is not ready any more, and closes each connection of a client with its next answer.
-2. When clients have had time to notice and nothing is in flight, or when the grace period is almost over, it breaks off
-   what is left and closes its listeners.
+2. When clients have had time to notice and nothing is in flight or unsent, or when the grace period is almost over, it
+   breaks off what is left and closes its listeners.
 3. When the last answers are sent, the event loop stops.
 """
 
@@ -61,7 +61,8 @@
 
     @property
     def _is_busy(self) -> bool:
-        return bool(self._forwarder.in_flight or self._gateway.requests)
+        has_requests = self._forwarder.in_flight or self._gateway.requests
+        return bool(has_requests) or self._clients.has_unsent or self._offer_server.has_unsent
 
     def _drain(self, started_at: int) -> None:
         elapsed_us = self._reactor.now() - started_at
