Signals during the start of a process neither kill it nor look like a crash

Cause: handlers were registered at the end of the start. Change: each program sets them before it loads anything else: SIGHUP is ignored until then, SIGTERM ends the process with status 0, since it has accepted nothing. What is left is the start of the interpreter itself, some 20 ms in which no code of ours runs.

--- a/lilacsill/mesh/store/__main__.py
+++ b/lilacsill/mesh/store/__main__.py
@@ -4,11 +4,14 @@
 
 import sys
 
-from lilacsill.mesh.runtime.start import run_process
+from lilacsill.mesh.early_signals import handle_early_signals
 
 
 def run() -> int:
     """Run the replica. Return the exit status."""
+    handle_early_signals()
+    from lilacsill.mesh.runtime.start import run_process
+
     from .process import Process
 
     return run_process("store", Process)
