Soak: each run has a network of its own, and gives its listeners back

A run now takes a free part of 127.0.0.0/8 by a lock on one of its ports, and closes its listeners at the end.

--- a/lilacsill/mesh/soak/backend.py
+++ b/lilacsill/mesh/soak/backend.py
@@ -56,6 +56,10 @@
     def _on_accepted(self, sock: socket.socket) -> None:
         WorkConnection(self).attach(sock)
 
+    def close(self) -> None:
+        """Accept no more connections."""
+        self._listener.close()
+
     def drain(self) -> None:
         """Announce the end of this incarnation, and begin the next one when its time is over."""
         self._state = "draining"
--- a/lilacsill/mesh/soak/soak_run.py
+++ b/lilacsill/mesh/soak/soak_run.py
@@ -28,11 +28,13 @@
 from .client import Client
 from .fault_plan import ClosingFault, Fault, FaultEvent, FaultPlan, draw_plan
 from .judge import Judge, Violation
+from .loopback_network import LoopbackNetwork
 from .observations import ProcessEnd, Record, SignalSent
 from .operator_client import OperatorClient
 from .workload import WORKLOADS, Workload, choose_habit
 
 US_PER_S = 1_000_000
+CORE_GROUP, PROXY_GROUP = 1, 2  # the third part of addresses
 GRACE_US = 6 * US_PER_S
 WATCH_US = 20_000  # between two looks at the processes
 RESTART_DELAY_US = 150_000
@@ -54,7 +56,6 @@
     core_machines: int = 3
     proxies: int = 6
     clients: int = 24
-    network: int = 0  # the second part of all addresses, 127.NETWORK.x.y; 0: drawn by seed
 
 
 class SoakReport(msgspec.Struct):
@@ -79,9 +80,9 @@
         self.settings = settings
         rng = Random(settings.seed)
         self._rng = rng
-        network = settings.network or rng.randint(3, 250)
-        self.core_ips = [f"127.{network}.1.{number + 1}" for number in range(settings.core_machines)]
-        self.proxy_ips = [f"127.{network}.2.{number + 1}" for number in range(settings.proxies)]
+        self._network = LoopbackNetwork(Random())
+        self.core_ips = [self._network.address(CORE_GROUP, number + 1) for number in range(settings.core_machines)]
+        self.proxy_ips = [self._network.address(PROXY_GROUP, number + 1) for number in range(settings.proxies)]
         self.workload: Workload = rng.choice(WORKLOADS)
         self.plan: FaultPlan = draw_plan(rng, int(settings.seconds * US_PER_S))
         self.record = Record()
@@ -103,7 +104,10 @@
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
         self.processes.close()
+        for backend in self.backends.values():
+            backend.close()
         self.reactor.close()
+        self._network.close()
         watchers.install(None)
 
     def next_attempt_id(self) -> str:
