One HTTP call for tour, benchmark and soak; the mesh on loopback has a plain name

Cause: the tour on loopback had a call of its own (Exchange) beside the soak's HttpCall, and names of the withdrawn style (Fair).

Change: HttpCall takes an encoded request and serves all three; Fair is LoopbackMesh, its processes are those of the soak.

--- a/benchmarks/mesh_cost.py
+++ b/benchmarks/mesh_cost.py
@@ -18,7 +18,8 @@
 
 from httptools import HttpResponseParser
 
-from lilacsill.mesh.simulation.loopback import SERVICE, Backend, Exchange, Fair, rules
+from lilacsill.mesh.simulation.http_call import HttpCall
+from lilacsill.mesh.simulation.loopback import SERVICE, Backend, LoopbackMesh, rules
 from lilacsill.mesh.simulation.loopback_processes import (
     APP_PORT,
     CORE_PROGRAMS,
@@ -30,8 +31,9 @@
 from lilacsill.mesh.runtime.link import connect
 from lilacsill.address import Address
 from lilacsill.http1.connection import Connection
-from lilacsill.http1.message import Reader, encode_request
+from lilacsill.http1.message import Message, Reader, encode_request
 
+READY_TIMEOUT_US = 1_500_000
 CLIENTS = 8
 TICK_S = 1 / os.sysconf("SC_CLK_TCK")
 
@@ -49,7 +51,7 @@
 class Kept(Connection):
     """A client with one connection and one request at a time."""
 
-    def __init__(self, fair: Fair, to: Address, left: int, done: Callable[[], None]) -> None:
+    def __init__(self, mesh: LoopbackMesh, to: Address, left: int, done: Callable[[], None]) -> None:
         super().__init__()
         self._reader, self._left, self._done = Reader(HttpResponseParser, 1 << 20), left, done
         self.served = 0
@@ -58,7 +60,7 @@
             self.attach(sock)  # type: ignore[arg-type]
             self._ask()
 
-        connect(fair.reactor, to, 1_000_000, opened, lambda e: done())
+        connect(mesh.reactor, to, 1_000_000, opened, lambda e: done())
 
     def _ask(self) -> None:
         headers = [
@@ -79,31 +81,31 @@
                 self._done()
 
 
-def load(fair: Fair, to: Address, requests: int) -> int:
+def load(mesh: LoopbackMesh, to: Address, requests: int) -> int:
     """Returns how many were served."""
     over: list[bool] = []
-    clients = [Kept(fair, to, requests // CLIENTS, lambda: over.append(True)) for _ in range(CLIENTS)]
-    assert fair.until(lambda: len(over) == CLIENTS, 300)
+    clients = [Kept(mesh, to, requests // CLIENTS, lambda: over.append(True)) for _ in range(CLIENTS)]
+    assert mesh.until(lambda: len(over) == CLIENTS, 300)
     return sum(c.served for c in clients)
 
 
-def ready_after(fair: Fair, ip: str) -> float:
+def ready_after(mesh: LoopbackMesh, ip: str) -> float:
     """Seconds from the start of a proxy until it says that it is ready."""
     began, ready = time.monotonic(), list[bool]()
-    fair.processes.start(Program.PROXY, ip, SERVICE)
+    mesh.processes.start(Program.PROXY, ip, SERVICE)
 
     def ask() -> None:
         data = encode_request(b"GET", b"/api/ready", [(b"Host", b"proxy")])
-        Exchange(fair.reactor, Address(ip, READY_PORT), data, answered)
+        HttpCall(mesh.reactor, Address(ip, READY_PORT), data, READY_TIMEOUT_US, answered)
 
-    def answered(status: int, _: bytes) -> None:
-        if status == 200:
+    def answered(response: Message | None) -> None:
+        if response is not None and response.status == 200:
             ready.append(True)
         else:
-            fair.reactor.after(5_000, ask)
+            mesh.reactor.after(5_000, ask)
 
     ask()
-    assert fair.until(lambda: bool(ready), 20)
+    assert mesh.until(lambda: bool(ready), 20)
     return time.monotonic() - began
 
 
@@ -111,23 +113,23 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--quick", action="store_true", help="fewer requests; under a minute")
     requests = 4_000 if parser.parse_args().quick else 40_000
-    with Fair(cores=3, sidecars=2) as fair:
-        near, far = fair.sidecars
-        fair.backends[near].state = "draining"  # so that all requests cross
+    with LoopbackMesh(cores=3, sidecars=2) as mesh:
+        near, far = mesh.sidecars
+        mesh.backends[near].state = "draining"  # so that all requests cross
         done: list[int] = []
-        fair.operate(rules(1, ["reads", "writes"]), done.append)
-        assert fair.until(lambda: done == [200], 20)
-        fair.run(2.0)
-        pids = {name: fair.processes.pid(ProcessKey(Program.PROXY, ip)) for name, ip in (("near", near), ("far", far))}
-        load(fair, Address(near, OUTGOING_PORT), requests // 10)  # connections are up, tables are known
+        mesh.operate(rules(1, ["reads", "writes"]), done.append)
+        assert mesh.until(lambda: done == [200], 20)
+        mesh.run(2.0)
+        pids = {name: mesh.processes.pid(ProcessKey(Program.PROXY, ip)) for name, ip in (("near", near), ("far", far))}
+        load(mesh, Address(near, OUTGOING_PORT), requests // 10)  # connections are up, tables are known
         before = {name: cpu_s(pid) for name, pid in pids.items()}
-        served = load(fair, Address(near, OUTGOING_PORT), requests)
+        served = load(mesh, Address(near, OUTGOING_PORT), requests)
         cost = {name: 1e6 * (cpu_s(pid) - before[name]) / served for name, pid in pids.items()}
         memory = {name: private_mb(pid) for name, pid in pids.items()}
         memory |= {
-            program: private_mb(fair.processes.pid(ProcessKey(program, fair.cores[0]))) for program in CORE_PROGRAMS
+            program: private_mb(mesh.processes.pid(ProcessKey(program, mesh.cores[0]))) for program in CORE_PROGRAMS
         }
-        Backend(fair, "127.0.0.1")
+        Backend(mesh, "127.0.0.1")
         control = subprocess.Popen(
             [sys.executable, "-m", "benchmarks.passthrough", str(APP_PORT)],
             stdin=subprocess.PIPE,
@@ -135,14 +137,14 @@
         )
         assert control.stdout is not None and control.stdin is not None
         port = int(control.stdout.readline())
-        load(fair, Address("127.0.0.1", port), requests // 10)
+        load(mesh, Address("127.0.0.1", port), requests // 10)
         at = cpu_s(control.pid)
-        load(fair, Address("127.0.0.1", port), requests)
+        load(mesh, Address("127.0.0.1", port), requests)
         bare = 1e6 * (cpu_s(control.pid) - at) / requests
         control.stdin.close()
         control.wait()
-        fair.processes.kill(ProcessKey(Program.PROXY, near))
-        start = ready_after(fair, near)
+        mesh.processes.kill(ProcessKey(Program.PROXY, near))
+        start = ready_after(mesh, near)
     print(f"CPU a request: near {cost['near']:.0f} us, far {cost['far']:.0f} us, pass-through {bare:.0f} us")
     print(f"both ends: {(cost['near'] + cost['far']) / bare:.1f} times the control")
     print("private memory: " + ", ".join(f"{name} {mb:.1f} MB" for name, mb in memory.items()))
--- a/lilacsill/mesh/simulation/__main__.py
+++ b/lilacsill/mesh/simulation/__main__.py
@@ -12,7 +12,7 @@
 
 import sys
 
-from .loopback import Fair, rules
+from .loopback import LoopbackMesh, rules
 
 
 def tour(seconds: float = 8.0) -> int:
@@ -20,41 +20,41 @@
 
     A core machine is killed and comes back, a route is added meanwhile, a backend drains.
     """
-    with Fair() as fair:
+    with LoopbackMesh() as mesh:
         statuses: list[int] = []
-        fair.operate(rules(1, ["reads", "writes"]), statuses.append)
-        if not fair.until(lambda: statuses == [200], 10):
+        mesh.operate(rules(1, ["reads", "writes"]), statuses.append)
+        if not mesh.until(lambda: statuses == [200], 10):
             print(f"the first configuration is not acknowledged: {statuses}")
             return 1
-        fair.run(1.5)  # beats and news
-        until = fair.reactor.now() + int(seconds * 1e6)
-        for ip in fair.sidecars:
-            fair.client(ip, b"/reads/a", b"GET", until)
-            fair.client(ip, b"/writes/a", b"POST", until)
+        mesh.run(1.5)  # beats and news
+        until = mesh.reactor.now() + int(seconds * 1e6)
+        for ip in mesh.sidecars:
+            mesh.client(ip, b"/reads/a", b"GET", until)
+            mesh.client(ip, b"/writes/a", b"POST", until)
         for second in range(int(seconds)):
             report = ""
             if second == 2:
-                fair.kill_core(fair.cores[0])
-                report = f"core machine {fair.cores[0]} is killed"
+                mesh.kill_core(mesh.cores[0])
+                report = f"core machine {mesh.cores[0]} is killed"
             elif second == 3:
-                fair.operate(rules(2, ["more"]), statuses.append)
+                mesh.operate(rules(2, ["more"]), statuses.append)
                 report = "a route is added"
             elif second == 4:
-                fair.start_core(fair.cores[0])
-                report = f"{fair.cores[0]} is started again"
+                mesh.start_core(mesh.cores[0])
+                report = f"{mesh.cores[0]} is started again"
             elif second == 5:
-                fair.backends[fair.sidecars[0]].state = "draining"
-                report = f"the backend beside {fair.sidecars[0]} drains"
-            before = fair.served.copy()
-            fair.run(1.0)
-            now = fair.served - before
+                mesh.backends[mesh.sidecars[0]].state = "draining"
+                report = f"the backend beside {mesh.sidecars[0]} drains"
+            before = mesh.served.copy()
+            mesh.run(1.0)
+            now = mesh.served - before
             counts = "  ".join(f"{what} {now[what]:4}" for what in ("served", "refused", "failed"))
             print(f"{second:3} s  {counts}  {report}", flush=True)
-        fair.run(0.5)
-        doubled = [n for n in fair.doubled() if fair.answered.get(n) != 200]
-        twice = [n for n, times in fair.ran.items() if times > 1]
+        mesh.run(0.5)
+        doubled = [n for n in mesh.doubled() if mesh.answered.get(n) != 200]
+        twice = [n for n, times in mesh.ran.items() if times > 1]
         print(f"calls of the operator: {statuses}; refused and run: {len(doubled)}; run more than once: {len(twice)}")
-        return int(statuses != [200, 200] or bool(doubled) or not fair.served["served"])
+        return int(statuses != [200, 200] or bool(doubled) or not mesh.served["served"])
 
 
 def main() -> int:
--- a/lilacsill/mesh/soak/http_call.py
+++ b/lilacsill/mesh/simulation/http_call.py
@@ -1,4 +1,4 @@
-"""One HTTP call on a connection of its own: heartbeats of backends, and the calls of operators."""
+"""One HTTP call on a connection of its own: requests of clients, heartbeats of backends, calls of operators."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 
 from lilacsill.address import Address
 from lilacsill.http1.connection import Connection
-from lilacsill.http1.message import Message, Reader, encode_request
+from lilacsill.http1.message import Message, Reader
 from lilacsill.mesh.runtime.link import connect
 from lilacsill.mesh.runtime.reactor import Reactor
 
 MAX_BODY_BYTES = 1 << 24
-JSON_HEADERS = [(b"Host", b"mesh"), (b"Content-Type", b"application/json")]
+JSON_HEADERS = [(b"Host", b"mesh"), (b"Content-Type", b"application/json")]  # of calls to the mesh itself
 
 
 class HttpCall(Connection):
@@ -24,15 +24,14 @@
         self,
         reactor: Reactor,
         address: Address,
-        method: bytes,
-        target: bytes,
-        body: bytes,
+        request: bytes,
         timeout_us: int,
         on_done: Callable[[Message | None], None],
     ) -> None:
+        """Connect, and send an encoded request."""
         super().__init__()
         self._reader = Reader(HttpResponseParser, MAX_BODY_BYTES)
-        self._request = encode_request(method, target, JSON_HEADERS, body)
+        self._request = request
         self._on_done: Callable[[Message | None], None] | None = on_done
         self._timer = reactor.after(timeout_us, self._end, None)
         connect(reactor, address, timeout_us, self._on_connected, lambda _error: self._end(None))
--- a/lilacsill/mesh/simulation/loopback.py
+++ b/lilacsill/mesh/simulation/loopback.py
@@ -13,65 +13,46 @@
 from types import TracebackType
 
 import msgspec
-from httptools import HttpRequestParser, HttpResponseParser
+from httptools import HttpRequestParser
 
 from lilacsill.address import Address
 from lilacsill.http1.connection import Connection
 from lilacsill.http1.message import Message, Reader, encode_request, encode_response
-from lilacsill.mesh.runtime.link import Listener, connect
+from lilacsill.mesh.runtime.link import Listener
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.net import reactor as watchers
 
+from .http_call import HttpCall
 from .loopback_processes import APP_PORT, CONTROL_PORT, OUTGOING_PORT, LoopbackProcesses, ProcessKey, Program
 from .store_fleet import put, route
 
 HEARTBEAT_US, WORK_US, REST_US = 500_000, 20_000, 30_000
 PATIENCE_MS = 1_000
+PATIENCE_US = PATIENCE_MS * 1500  # a response that comes late is still seen
+OPERATOR_RETRY_US = 200_000
+NO_RESPONSE = 0  # in place of an HTTP status
 SERVICE = "s"
 
 
-class Exchange(Connection):
-    """One request of somebody outside; `done` hears the status once, 0 where no whole answer came."""
-
-    def __init__(self, reactor: Reactor, to: Address, data: bytes, done: Callable[[int, bytes], None]) -> None:
-        super().__init__()
-        self._reader, self._data, self._done = Reader(HttpResponseParser, 1 << 24), data, done
-        self._over = False
-        reactor.after(PATIENCE_MS * 1500, self._end, 0, b"")
-
-        def opened(sock: object) -> None:
-            self.attach(sock)  # type: ignore[arg-type]
-            self.send(self._data)
-
-        connect(reactor, to, PATIENCE_MS * 1000, opened, lambda error: self._end(0, b""))
-
-    def on_data(self, data: bytes) -> None:
-        """Take the response."""
-        for message in self._reader.feed(data):
-            self._end(message.status, bytes(message.body))
-
-    def on_end(self) -> None:
-        """Take the end of the connection, which is no response."""
-        self._end(0, b"")
-
-    def _end(self, status: int, body: bytes) -> None:
-        if not self._over:
-            self._over = True
-            if self.stream is not None:
-                self.drop()
-            self._done(status, body)
-
-
 class Backend:
     """An application beside a proxy: works for a while on each request, and beats."""
 
-    def __init__(self, fair: Fair, ip: str, run_number: int = 1) -> None:
-        self.fair, self.ip, self.server = fair, ip, f"i-{ip}-{run_number}"
+    def __init__(self, mesh: LoopbackMesh, ip: str, run_number: int = 1) -> None:
+        self._mesh, self.ip, self.server = mesh, ip, f"i-{ip}-{run_number}"
         self.count = self.running = 0
         self.state = "ready"
-        self.listener = Listener(fair.reactor, Address(ip, APP_PORT), self._accepted)
+        self.listener = Listener(mesh.reactor, Address(ip, APP_PORT), self._accepted)
         self._heartbeat()
 
+    @property
+    def reactor(self) -> Reactor:
+        """The event loop of the mesh's driver."""
+        return self._mesh.reactor
+
+    def record_run(self, attempt_id: str) -> None:
+        """Count that a request was run."""
+        self._mesh.ran[attempt_id] += 1
+
     def _accepted(self, sock: object) -> None:
         Worker(self).attach(sock)  # type: ignore[arg-type]
 
@@ -85,8 +66,9 @@
             }
         )
         data = encode_request(b"PUT", f"/api/servers/{self.server}".encode(), [(b"Host", b"proxy")], body)
-        Exchange(self.fair.reactor, Address(self.ip, CONTROL_PORT), data, lambda status, body: None)
-        self.fair.reactor.after(HEARTBEAT_US, self._heartbeat)
+        address = Address(self.ip, CONTROL_PORT)
+        HttpCall(self._mesh.reactor, address, data, PATIENCE_US, lambda _response: None)
+        self._mesh.reactor.after(HEARTBEAT_US, self._heartbeat)
 
 
 class Worker(Connection):
@@ -100,7 +82,7 @@
         """Work on each request for a time."""
         for message in self._reader.feed(data):
             self._backend.running += 1
-            self._backend.fair.reactor.after(WORK_US, self._answer, message)
+            self._backend.reactor.after(WORK_US, self._answer, message)
 
     def _answer(self, message: Message) -> None:
         running = self._backend.running
@@ -109,18 +91,18 @@
             return
         number = message.header(b"attempt-id") or ""
         if number:
-            self._backend.fair.ran[number] += 1
+            self._backend.record_run(number)
         headers = [
             ("Attempt-Id", number),
-            ("Server-Seal", "fair"),
+            ("Server-Seal", "seal"),
             ("Answering-Server", self._backend.server),
             ("Server-Load", f"{running},0,8"),
         ]
         self.send(encode_response(200, headers, b"x" * 500))
 
 
-class Fair:
-    """The processes and the world round them."""
+class LoopbackMesh:
+    """The processes, and the backends, clients and operators around them."""
 
     def __init__(self, cores: int = 3, sidecars: int = 4) -> None:
         self.reactor = Reactor()
@@ -133,7 +115,7 @@
         self._numbers = 0
         self.backends: dict[str, Backend] = {}
 
-    def __enter__(self) -> Fair:
+    def __enter__(self) -> LoopbackMesh:
         for ip in self.cores:
             self.start_core(ip, fresh=True)
         for ip in self.sidecars:
@@ -170,13 +152,13 @@
         """Until a clear answer comes, at one core machine after the other."""
         data = encode_request(b"PATCH", b"/api/config", [(b"Host", b"core")], msgspec.json.encode(body))
 
-        def answered(status: int, _: bytes) -> None:
-            if status == 0 or status >= 500:
-                self.reactor.after(200_000, self.operate, body, done, at + 1)
+        def on_done(response: Message | None) -> None:
+            if response is None or response.status >= 500:
+                self.reactor.after(OPERATOR_RETRY_US, self.operate, body, done, at + 1)
             else:
-                done(status)
+                done(response.status)
 
-        Exchange(self.reactor, Address(self.cores[at % len(self.cores)], CONTROL_PORT), data, answered)
+        HttpCall(self.reactor, Address(self.cores[at % len(self.cores)], CONTROL_PORT), data, PATIENCE_US, on_done)
 
     def client(self, ip: str, path: bytes, method: bytes, until: int) -> None:
         """One request after the other."""
@@ -187,13 +169,14 @@
         headers = [(b"Host", b"h.example"), (b"Attempt-Id", number.encode()), (b"Time-Left-Ms", b"%d" % PATIENCE_MS)]
         data = encode_request(method, path, headers, b"body" if method == b"POST" else b"")
 
-        def answered(status: int, _: bytes) -> None:
+        def on_done(response: Message | None) -> None:
+            status = NO_RESPONSE if response is None else response.status
             self.answered[number] = status
             what = "served" if status == 200 else "refused" if status == 503 else "failed"
             self.served[what] += 1
             self.reactor.after(REST_US, self.client, ip, path, method, until)
 
-        Exchange(self.reactor, Address(ip, OUTGOING_PORT), data, answered)
+        HttpCall(self.reactor, Address(ip, OUTGOING_PORT), data, PATIENCE_US, on_done)
 
     def run(self, seconds: float) -> None:
         """Run the loop for so long."""
--- a/lilacsill/mesh/soak/backend.py
+++ b/lilacsill/mesh/soak/backend.py
@@ -11,13 +11,13 @@
 
 from lilacsill.address import Address
 from lilacsill.http1.connection import Connection
-from lilacsill.http1.message import Message, Reader, encode_response
+from lilacsill.http1.message import Message, Reader, encode_request, encode_response
 from lilacsill.mesh.runtime.link import Listener
 from lilacsill.mesh.runtime.reactor import Reactor
+from lilacsill.mesh.simulation.http_call import JSON_HEADERS, HttpCall
 from lilacsill.mesh.simulation.loopback_processes import APP_PORT, CONTROL_PORT
 from lilacsill.timers import Timer
 
-from .http_call import HttpCall
 from .observations import BackendWork, Record, WorkEnd
 from .workload import RouteWork, Workload, response_body, seal
 
@@ -79,15 +79,9 @@
                 "Condition": {"ServerState": self._state, "CallCount": self._heartbeats, "ColdLeftMs": 0},
             }
         )
-        HttpCall(
-            self.reactor,
-            Address(self.ip, CONTROL_PORT),
-            b"PUT",
-            f"/api/servers/{self.server}".encode(),
-            body,
-            HEARTBEAT_TIMEOUT_US,
-            lambda _response: None,
-        )
+        request = encode_request(b"PUT", f"/api/servers/{self.server}".encode(), JSON_HEADERS, body)
+        address = Address(self.ip, CONTROL_PORT)
+        HttpCall(self.reactor, address, request, HEARTBEAT_TIMEOUT_US, lambda _response: None)
 
     def load(self, has_run: bool) -> str:
         """Return the value of the header `Server-Load` for a response; `has_run`: its request had a slot until now."""
--- a/lilacsill/mesh/soak/operator_client.py
+++ b/lilacsill/mesh/soak/operator_client.py
@@ -9,11 +9,11 @@
 import msgspec
 
 from lilacsill.address import Address
-from lilacsill.http1.message import Message
+from lilacsill.http1.message import Message, encode_request
 from lilacsill.mesh.runtime.reactor import Reactor
+from lilacsill.mesh.simulation.http_call import JSON_HEADERS, HttpCall
 from lilacsill.mesh.simulation.loopback_processes import CONTROL_PORT
 
-from .http_call import HttpCall
 from .observations import ItemChange, Record
 from .workload import RouteWork, Workload
 
@@ -127,7 +127,8 @@
 
     def _start_call(self, method: bytes, body: bytes, core: int, on_done: Callable[[Message | None], None]) -> None:
         address = Address(self._core_ips[core % len(self._core_ips)], CONTROL_PORT)
-        HttpCall(self._reactor, address, method, PATH, body, CALL_TIMEOUT_US, on_done)
+        request = encode_request(method, PATH, JSON_HEADERS, body)
+        HttpCall(self._reactor, address, request, CALL_TIMEOUT_US, on_done)
 
     def read_back(self, on_read: Callable[[dict[str, dict[str, Any]]], None], core: int = 0) -> None:
         """Read the configuration until an answer comes; pass on the routes by their names."""
--- a/tests/mesh/test_loopback.py
+++ b/tests/mesh/test_loopback.py
@@ -11,7 +11,7 @@
 import pytest
 
 from lilacsill.mesh.runtime.metrics_server import PROXY_PORT, REGISTRY_PORT, STORE_PORT
-from lilacsill.mesh.simulation.loopback import Fair, rules
+from lilacsill.mesh.simulation.loopback import LoopbackMesh, rules
 from lilacsill.mesh.simulation.loopback_processes import INTERNAL_PORTS, Program
 
 # Machines of the mesh are addresses of loopback with fixed ports: two meshes at once would meet.
@@ -29,61 +29,61 @@
     return {name: float(value) for name, _, value in lines}
 
 
-def check_metrics(fair: Fair) -> None:
+def check_metrics(mesh: LoopbackMesh) -> None:
     """Each role tells what it does."""
-    proxy = fetch(fair.sidecars[0], PROXY_PORT)
+    proxy = fetch(mesh.sidecars[0], PROXY_PORT)
     assert proxy['lilacsill_responses_total{status="200"}'] > 0 and proxy["lilacsill_config_current"] == 1
     # The backends are in this process, which has been waiting for commands: a breaker may be open.
     assert proxy["lilacsill_backend_circuit_open"] in (0, 1) and proxy["lilacsill_config_proof_age_seconds"] < 2
-    registry = fetch(fair.cores[1], REGISTRY_PORT)
-    assert registry['lilacsill_endpoints{state="ready"}'] == len(fair.sidecars)
+    registry = fetch(mesh.cores[1], REGISTRY_PORT)
+    assert registry['lilacsill_endpoints{state="ready"}'] == len(mesh.sidecars)
     assert registry["lilacsill_updates_sent_total"] > 0 and registry["lilacsill_polls_waiting"] >= 0
-    stores = [fetch(ip, STORE_PORT) for ip in fair.cores[1:]]
+    stores = [fetch(ip, STORE_PORT) for ip in mesh.cores[1:]]
     assert all(store["lilacsill_view_members"] == 2 and store["lilacsill_lease_valid"] == 1 for store in stores)
     assert {store["lilacsill_replication_lag"] for store in stores} == {0}
 
 
 def test_a_mesh_of_processes_serves_and_mends(tmp_path: Path) -> None:
-    with Fair(cores=3, sidecars=2) as fair:
+    with LoopbackMesh(cores=3, sidecars=2) as mesh:
         statuses: list[int] = []
-        fair.operate(rules(1, ["reads", "writes"]), statuses.append)
-        assert fair.until(lambda: statuses == [200], PATIENCE_S)
-        until = fair.reactor.now() + int(2 * PATIENCE_S * 1e6)
-        for ip in fair.sidecars:
-            fair.client(ip, b"/reads/a", b"GET", until)
-            fair.client(ip, b"/writes/a", b"POST", until)
-        assert fair.until(lambda: fair.served["served"] > 50, PATIENCE_S), fair.served
-        fair.kill_core(fair.cores[0])
-        fair.operate(rules(2, ["more"]), statuses.append)
-        assert fair.until(lambda: statuses == [200, 200], PATIENCE_S)
-        before = fair.served.copy()
-        assert fair.until(lambda: (fair.served - before)["served"] > 50, PATIENCE_S)
-        assert not (fair.served - before)["failed"]
+        mesh.operate(rules(1, ["reads", "writes"]), statuses.append)
+        assert mesh.until(lambda: statuses == [200], PATIENCE_S)
+        until = mesh.reactor.now() + int(2 * PATIENCE_S * 1e6)
+        for ip in mesh.sidecars:
+            mesh.client(ip, b"/reads/a", b"GET", until)
+            mesh.client(ip, b"/writes/a", b"POST", until)
+        assert mesh.until(lambda: mesh.served["served"] > 50, PATIENCE_S), mesh.served
+        mesh.kill_core(mesh.cores[0])
+        mesh.operate(rules(2, ["more"]), statuses.append)
+        assert mesh.until(lambda: statuses == [200, 200], PATIENCE_S)
+        before = mesh.served.copy()
+        assert mesh.until(lambda: (mesh.served - before)["served"] > 50, PATIENCE_S)
+        assert not (mesh.served - before)["failed"]
         # Operators ask the processes themselves.
         for program, port, ip in (
-            ("lilacsill.mesh.store", INTERNAL_PORTS[0] + 1, fair.cores[1]),
-            ("lilacsill.mesh.registry", INTERNAL_PORTS[0], fair.cores[1]),
-            ("lilacsill.mesh.proxy", INTERNAL_PORTS[0], fair.sidecars[0]),
+            ("lilacsill.mesh.store", INTERNAL_PORTS[0] + 1, mesh.cores[1]),
+            ("lilacsill.mesh.registry", INTERNAL_PORTS[0], mesh.cores[1]),
+            ("lilacsill.mesh.proxy", INTERNAL_PORTS[0], mesh.sidecars[0]),
         ):
             report = subprocess.run(
                 [sys.executable, "-m", program, "status", f"{ip}:{port}"], capture_output=True, check=True
             )
             assert json.loads(report.stdout)["sure"] is True
-        check_metrics(fair)
+        check_metrics(mesh)
         history = subprocess.run(
             [
                 sys.executable,
                 "-m",
                 "lilacsill.mesh.store",
                 "history",
-                f"{fair.cores[1]}:{INTERNAL_PORTS[0] + 1}",
+                f"{mesh.cores[1]}:{INTERNAL_PORTS[0] + 1}",
                 "--name=more",
             ],
             capture_output=True,
             check=True,
         )
         assert b"r2" in history.stdout and b"/more/" in history.stdout
-        store = f"{fair.cores[1]}:{INTERNAL_PORTS[0] + 1}"
+        store = f"{mesh.cores[1]}:{INTERNAL_PORTS[0] + 1}"
         export = subprocess.run(
             [sys.executable, "-m", "lilacsill.mesh.store", "export", store], capture_output=True, check=True
         )
@@ -93,8 +93,8 @@
             ran = subprocess.run([sys.executable, "-m", "lilacsill.mesh.store", *command], capture_output=True)
             assert wanted in ran.stdout + ran.stderr, ran
         # One that leaves in order ends what it holds, and says so with its status.
-        leaving = fair.terminate(Program.PROXY, fair.sidecars[1])
-        assert fair.until(lambda: leaving.poll() is not None, PATIENCE_S) and leaving.returncode == 0
-        assert not fair.doubled()
+        leaving = mesh.terminate(Program.PROXY, mesh.sidecars[1])
+        assert mesh.until(lambda: leaving.poll() is not None, PATIENCE_S) and leaving.returncode == 0
+        assert not mesh.doubled()
         # Nothing that ran was lost: not with the core machine, nor with the proxy that left with writes in hand.
-        assert [n for n in fair.ran if fair.answered.get(n, 200) != 200] == []
+        assert [n for n in mesh.ran if mesh.answered.get(n, 200) != 200] == []
