Soak: uploads, freezes, SIGTERM to all proxies at once; every habit on every machine

Need: what had not been tried on real processes: long uploads that are cut into chunks, processes that freeze and wake up, signals to all at once. And with 24 clients the slow readers never came up, since habits went by round.

Change: a client that uploads, three faults, habits that differ by machine.

--- a/lilacsill/mesh/soak/client.py
+++ b/lilacsill/mesh/soak/client.py
@@ -29,6 +29,17 @@
 SLOW_RECEIVE_BUFFER_BYTES = 8 * 1024
 MAX_BODY_BYTES = 1 << 24
 WRITE_BODY = b"w" * 300
+UPLOAD_CHUNK, UPLOAD_CHUNKS, UPLOAD_PAUSE_US = b"u" * 20_000, 8, 20_000
+
+
+def _encode(request: ClientRequest, route: RouteWork, body: bytes) -> bytes:
+    headers = [
+        (b"Host", b"h.example"),
+        (b"Attempt-Id", request.attempt_id.encode()),
+        (b"Time-Left-Ms", b"%d" % route.patience_ms),
+    ]
+    method = b"GET" if route.idempotent else b"POST"
+    return encode_request(method, f"/{route.name}/a".encode(), headers, body)
 
 
 class ClientWorld(Protocol):
@@ -66,14 +77,26 @@
 
     def send_request(self, request: ClientRequest, route: RouteWork) -> None:
         """Send one request behind those that are pending."""
-        method, body = (b"GET", b"") if route.idempotent else (b"POST", WRITE_BODY)
-        headers = [
-            (b"Host", b"h.example"),
-            (b"Attempt-Id", request.attempt_id.encode()),
-            (b"Time-Left-Ms", b"%d" % route.patience_ms),
-        ]
+        body = b"" if route.idempotent else WRITE_BODY
+        self.pending.append(request)
+        self.send(_encode(request, route, body))
+
+    def start_upload(self, request: ClientRequest, route: RouteWork) -> None:
+        """Send a write with a long body, one chunk after the other."""
+        data = _encode(request, route, UPLOAD_CHUNK * UPLOAD_CHUNKS)
+        request.is_sent = False
         self.pending.append(request)
-        self.send(encode_request(method, f"/{route.name}/a".encode(), headers, body))
+        self._send_chunk(request, data)
+
+    def _send_chunk(self, request: ClientRequest, data: bytes) -> None:
+        if not self.open or request.end is not RequestEnd.PENDING:
+            return
+        self.send(data[: len(UPLOAD_CHUNK)])
+        rest = data[len(UPLOAD_CHUNK) :]
+        if rest:
+            self._client.world.reactor.after(UPLOAD_PAUSE_US, self._send_chunk, request, rest)
+        else:
+            request.is_sent, request.sent_at = True, self._client.world.reactor.now()
 
     def on_data(self, data: bytes) -> None:
         """Match responses with requests."""
@@ -96,7 +119,7 @@
         request.ended_at = self._client.world.reactor.now()
         request.is_sealed = response.header(b"server-seal") == seal(request.attempt_id)
         request.is_intact = bytes(response.body) == response_body(request.attempt_id, route.body_bytes)
-        if not response.keep_alive:
+        if not response.keep_alive or not request.is_sent:
             self._finish(RequestEnd.NOT_READ, RequestEnd.NOT_READ)
         self._client.on_response()
 
@@ -158,6 +181,9 @@
         self._schedule(RECONNECT_US)
 
     def _send_requests(self, connection: ClientConnection) -> None:
+        if self._habit is Habit.UPLOADER and not connection.pending:
+            self._send(connection, next(route for route in self.world.workload.routes if not route.idempotent))
+            return
         if self._habit is not Habit.PIPELINED:
             if not connection.pending:
                 self._send(connection, self._choose_route(reads_only=False))
@@ -177,7 +203,10 @@
         deadline_at = now + min(route.patience_ms, route.timeout_ms) * US_PER_MS
         request = ClientRequest(self.world.next_attempt_id(), self._ip, route.name, route.idempotent, now, deadline_at)
         self.world.record.requests.append(request)
-        connection.send_request(request, route)
+        if self._habit is Habit.UPLOADER:
+            connection.start_upload(request, route)
+        else:
+            connection.send_request(request, route)
         patience_us = deadline_at - now + AFTER_DEADLINE_US
         self.world.reactor.after(patience_us, self._give_up_if_pending, connection, request)
 
--- a/lilacsill/mesh/soak/fault_plan.py
+++ b/lilacsill/mesh/soak/fault_plan.py
@@ -19,6 +19,9 @@
     KILL_CORE = "kill core machine"
     RESTART_CORE = "restart core machine"
     KILL_PROXY = "kill proxy"
+    RESTART_ALL_PROXIES = "restart all proxies"  # SIGTERM to all at once
+    FREEZE_PROXY = "freeze proxy"
+    FREEZE_CORE = "freeze core machine"
     SLOW_BACKEND = "slow backend"
     REPLACE_BACKEND = "replace backend"
     CHANGE = "change"  # of the configuration
@@ -61,6 +64,9 @@
     ((Fault.SLOW_BACKEND,), 2),
     ((Fault.REPLACE_BACKEND, Fault.RESTART_PROXY), 1),
     ((Fault.KILL_PROXY,), 1),
+    ((Fault.RESTART_ALL_PROXIES,), 1),
+    ((Fault.FREEZE_PROXY, Fault.RESTART_PROXY), 1),
+    ((Fault.FREEZE_CORE, Fault.RACING_CHANGES), 1),
 )
 MAX_STEP_US = 1_300_000  # between two faults of a series
 
--- a/lilacsill/mesh/soak/observations.py
+++ b/lilacsill/mesh/soak/observations.py
@@ -31,6 +31,7 @@
     idempotent: bool
     sent_at: int  # its last byte
     deadline_at: int  # the client's patience and the route's time-out, whichever ends first
+    is_sent: bool = True  # all of it, with its body
     end: RequestEnd = RequestEnd.PENDING
     ended_at: int = 0
     status: int = 0
--- a/lilacsill/mesh/soak/soak_run.py
+++ b/lilacsill/mesh/soak/soak_run.py
@@ -43,6 +43,7 @@
 SLOW_FACTOR, SLOW_US = 6.0, 4 * US_PER_S
 DRAIN_US = 2_600_000
 RACING_CHANGES = 3
+FREEZE_US = 1_200_000
 ENDING_SIGNALS = (signal.SIGTERM, signal.SIGKILL)
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 MAX_EARLY_SIGNAL_US = 300_000  # after a start, some reloads come before the process is ready
@@ -134,8 +135,9 @@
         self._run_for(WARM_UP_S)
         started_at = self.reactor.now()
         for number in range(self.settings.clients):
-            ip = self.proxy_ips[number % len(self.proxy_ips)]
-            Client(self, ip, choose_habit(number // len(self.proxy_ips)), Random(self._rng.random()))
+            round_number, position = divmod(number, len(self.proxy_ips))
+            habit = choose_habit(round_number + position)  # each machine has other habits, and all come up
+            Client(self, self.proxy_ips[position], habit, Random(self._rng.random()))
         for event in self.plan.events:
             self.reactor.after(event.at, self._bring_about, event)
         self._run_for(self.settings.seconds)
@@ -209,6 +211,9 @@
             Fault.TERMINATE_TWICE: partial(self._terminate_twice, proxy, event.number),
             Fault.RELOAD: partial(self._reload, proxy, core_ip, event.number),
             Fault.KILL_PROXY: partial(self._signal, proxy, signal.SIGKILL),
+            Fault.RESTART_ALL_PROXIES: self._terminate_all,
+            Fault.FREEZE_PROXY: partial(self._freeze, [proxy]),
+            Fault.FREEZE_CORE: partial(self._freeze, [ProcessKey(program, core_ip) for program in CORE_PROGRAMS]),
             Fault.KILL_CORE: partial(self._signal_core, core_ip, signal.SIGKILL),
             Fault.RESTART_CORE: partial(self._signal_core, core_ip, signal.SIGTERM),
             Fault.SLOW_BACKEND: partial(self._slow_down, self.backends[proxy.ip]),
@@ -227,6 +232,17 @@
         self.reactor.after(number % US_PER_S, self._signal, key, signal.SIGHUP)
         self.reactor.after(2 * (number % US_PER_S), self._signal, key, signal.SIGTERM)
 
+    def _terminate_all(self) -> None:
+        for ip in self.proxy_ips:
+            self._signal(ProcessKey(Program.PROXY, ip), signal.SIGTERM)
+
+    def _freeze(self, keys: list[ProcessKey]) -> None:
+        """Suspend processes for a while; one that is about to end is left alone."""
+        for key in keys:
+            if key not in self._signalled_at:
+                self._signal(key, signal.SIGSTOP)
+                self.reactor.after(FREEZE_US, self._signal, key, signal.SIGCONT)
+
     def _reload(self, proxy: ProcessKey, core_ip: str, number: int) -> None:
         keys = [proxy, *(ProcessKey(program, core_ip) for program in CORE_PROGRAMS)]
         for key in keys:
--- a/lilacsill/mesh/soak/workload.py
+++ b/lilacsill/mesh/soak/workload.py
@@ -16,7 +16,8 @@
     ONE_AT_A_TIME = "one at a time"  # one request at a time on a connection that it keeps
     PIPELINED = "pipelined"  # further requests before the first has its response
     FRESH = "fresh"  # a new connection for each request
-    SLOW_READER = "slow reader"  # as ONE_AT_A_TIME, with long responses that it reads in small pieces
+    UPLOADER = "uploader"  # as ONE_AT_A_TIME, writes with long bodies that it sends in chunks
+    SLOW_READER = "slow reader"  # as ONE_AT_A_TIME, with long responses that it reads in small chunks
 
 
 class DurationMix(msgspec.Struct, frozen=True):
@@ -92,20 +93,13 @@
     Habit.FRESH,
     Habit.PIPELINED,
     Habit.SLOW_READER,
+    Habit.UPLOADER,
 )
 
 
 def choose_habit(number: int) -> Habit:
     """Return the habit of a client by its number: all habits come up, most clients keep their connections."""
-    habits = (
-        Habit.ONE_AT_A_TIME,
-        Habit.PIPELINED,
-        Habit.ONE_AT_A_TIME,
-        Habit.FRESH,
-        Habit.PIPELINED,
-        Habit.SLOW_READER,
-    )
-    return habits[number % len(habits)]
+    return HABITS[number % len(HABITS)]
 
 
 def response_body(attempt_id: str, length: int) -> bytes:
