--- a/lilacsill/mesh/soak/fault_plan.py
+++ b/lilacsill/mesh/soak/fault_plan.py
@@ -22,6 +22,7 @@
     RESTART_ALL_PROXIES = "restart all proxies"  # SIGTERM to all at once
     FREEZE_PROXY = "freeze proxy"
     FREEZE_CORE = "freeze core machine"
+    THROTTLE_PROXY = "throttle proxy"  # a processor quota: it runs for a part of each tenth of a second
     SLOW_BACKEND = "slow backend"
     REPLACE_BACKEND = "replace backend"
     CHANGE = "change"  # of the configuration
@@ -67,7 +68,9 @@
     ((Fault.RESTART_ALL_PROXIES,), 1),
     ((Fault.FREEZE_PROXY, Fault.RESTART_PROXY), 1),
     ((Fault.FREEZE_CORE, Fault.RACING_CHANGES), 1),
+    ((Fault.THROTTLE_PROXY, Fault.RESTART_PROXY), 2),
 )
+NUMBER_BITS = 32  # of an event
 MAX_STEP_US = 1_300_000  # between two faults of a series
 
 
@@ -79,7 +82,7 @@
         series = rng.choices([faults for faults, _ in SERIES], [weight for _, weight in SERIES])[0]
         fault_at = at
         for fault in series:
-            events.append(FaultEvent(fault_at, fault, rng.getrandbits(16)))
+            events.append(FaultEvent(fault_at, fault, rng.getrandbits(NUMBER_BITS)))
             fault_at += int(rng.uniform(0, MAX_STEP_US))
         at += int(rng.expovariate(1 / MEAN_GAP_US))
     events = [event for event in events if event.at < duration_us]
