A registry that leaves answers the calls that are under way

What callers would see: an operator's call without an answer, since the registry ended one second after SIGTERM whatever was under way; while the chain is repaired a call takes longer.

Change: after that second the registry stays until each call has its response, three quarters of the grace period at most; a second SIGTERM changes nothing.

Evidence: test_a_registry_that_leaves_waits_for_the_response_of_a_call_under_way fails without the change (the end comes first); the bound's test fails there too, for want of the name it sets. With it both pass.

--- a/lilacsill/mesh/registry/process.py
+++ b/lilacsill/mesh/registry/process.py
@@ -30,7 +30,9 @@
 STORE_PORT_OFFSET = 1  # the store's port, from the first of the internal ports
 CHECK_INTERVAL_US = 250_000  # between two searches for failed nodes and new core machines
 MAX_CHECK_DELAY_US = 400_000  # a check that is later by more shows that this process was suspended
-SHUTDOWN_DELAY_US = 1_000_000  # from SIGTERM to the end, so that calls under way get their responses
+MIN_SHUTDOWN_US = 1_000_000  # from SIGTERM to the end, so that callers go to other registries
+SHUTDOWN_CHECK_US = 50_000
+MAX_SHUTDOWN_SHARE = 3 / 4  # of the grace period: so long calls under way may take
 
 
 class Process:
@@ -43,6 +45,7 @@
             OSError: An address cannot be bound.
         """
         self._reactor = reactor
+        self._grace_period_us = settings.timing.grace_period_us
         registry_port = settings.internal_ports[0]
         store = Address(settings.ip, registry_port + STORE_PORT_OFFSET)
         rpc_clients = RpcClientPool(reactor)
@@ -93,10 +96,20 @@
         self._poll_server.remove_failed(now)
 
     def _shut_down(self) -> None:
+        if self._control_server.draining:
+            return
         log.info("shutting down")
         self._control_server.draining = True
         self._control_server.listener.close()
-        self._reactor.after(SHUTDOWN_DELAY_US, self._reactor.stop)
+        last_at = self._reactor.now() + int(MAX_SHUTDOWN_SHARE * self._grace_period_us)
+        self._reactor.after(min(MIN_SHUTDOWN_US, self._grace_period_us // 2), self._stop_when_idle, last_at)
+
+    def _stop_when_idle(self, last_at: int) -> None:
+        """End once all calls under way have their responses, at `last_at` in any case."""
+        if self._control_server.is_busy and self._reactor.now() < last_at:
+            self._reactor.after(SHUTDOWN_CHECK_US, self._stop_when_idle, last_at)
+        else:
+            self._reactor.stop()
 
     def _encode_metrics(self) -> bytes:
         from .metrics import encode_metrics  # the library need not be in memory where nobody fetches metrics
--- a/lilacsill/mesh/runtime/control.py
+++ b/lilacsill/mesh/runtime/control.py
@@ -55,6 +55,11 @@
         self.connections: set[ControlConnection] = set()
         self.listener = Listener(reactor, address, self._on_accept)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a caller still waits for its response, or has not taken all of it."""
+        return any(connection.is_busy for connection in self.connections)
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         self.listener.close()
@@ -81,6 +86,11 @@
         self._handling = False
         self._idle_timer = server.reactor.after(IDLE_TIMEOUT_US, self.close)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a call is being handled, or its response is not sent completely."""
+        return self._handling or self.unsent > 0
+
     def on_data(self, data: bytes) -> None:
         """Read calls from the bytes received."""
         self._queue += self._reader.feed(data)
--- a/tests/control/test_point_5_callers.py
+++ b/tests/control/test_point_5_callers.py
@@ -88,6 +88,41 @@
         assert len(client.answers) == 2 and not client.over and calls == [b"first", b"second"]
 
 
+# Guards against a registry that ends one second after SIGTERM while a call that takes longer is under way.
+def test_a_registry_that_leaves_waits_for_the_response_of_a_call_under_way(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(registry_process, "MIN_SHUTDOWN_US", 20_000)
+    with stage() as mesh:
+        calls: list[bytes] = []
+
+        def on_patch(patch: Patch, send_reply: SendReply) -> None:
+            calls.append(patch.body)
+            mesh.reactor.after(250_000, send_reply, Reply(200, b"{}"))
+
+        store = RpcServer(
+            mesh.reactor, Address(LOOPBACK, 0), {Patch: on_patch, Follow: lambda follow, send_reply: None}
+        )
+        registry = registry_at(mesh, monkeypatch, Address(LOOPBACK, store.listener.port), 900_000)
+        data = request("PATCH", "/api/config", 1, b"{}")
+        client = caller(mesh, registry._control_server.listener.port, data)
+        mesh.until(lambda: bool(calls), "the store has the call")
+        registry._shut_down()
+        mesh.until(lambda: bool(client.answers) or mesh.reactor._stopped, "the response, or the end")
+        assert [answer.status for answer in client.answers] == [200]
+        mesh.until(lambda: mesh.reactor._stopped, "the process ends")
+
+
+def test_a_registry_that_leaves_waits_no_longer_than_its_grace_period_allows(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(registry_process, "MIN_SHUTDOWN_US", 20_000)
+    monkeypatch.setattr(registry_process, "MAX_SHUTDOWN_SHARE", 0.02)
+    with stage() as mesh:
+        registry = registry_at(mesh, monkeypatch, Address(LOOPBACK, 17999), 4_000_000)
+        monkeypatch.setattr(registry._control_server, "handle", lambda call, respond: None)
+        caller(mesh, registry._control_server.listener.port, request("PATCH", "/api/config", 1, b"{}"))
+        mesh.until(lambda: registry._control_server.is_busy, "the call is under way")
+        registry._shut_down()
+        mesh.until(lambda: mesh.reactor._stopped, "the process ends")
+
+
 class CountingFleet(Fleet):
     """Core machines that count how many replies each request gets."""
 
