--- a/tests/mesh/proxy/test_answers_for_a_backend_at_work.py
+++ b/tests/mesh/proxy/test_answers_for_a_backend_at_work.py
@@ -17,10 +17,8 @@
 MS = 1_000
 
 
-@pytest.fixture
-def no_retry_left(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The retry budget is spent."""
-    monkeypatch.setattr("lilacsill.mesh.proxy.upstreams.Upstreams.try_retry", lambda *arguments: False)
+def spend_retry_budget(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr("lilacsill.mesh.proxy.upstreams.Upstreams.try_retry", lambda *arguments: False)
 
 
 # Guards against a request that was taken late since its route's work is usually short: it was broken off with the
@@ -41,8 +39,8 @@
 
 
 # Guards against a 502 for a read whose backend, by its load reports, seemed to have lost it.
-@pytest.mark.usefixtures("no_retry_left")
-def test_a_read_that_seems_lost_is_waited_for_where_no_retry_is_left() -> None:
+def test_a_read_that_seems_lost_is_waited_for_where_no_retry_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    spend_retry_budget(monkeypatch)
     with stage() as s:
         backend = s.add("one")
         backend.script += ["answers much later", "answers late and holds one", "answers later and holds one"]
@@ -52,8 +50,8 @@
 
 
 # Guards against a 502 for reads whose backend was slow and taken for silent.
-@pytest.mark.usefixtures("no_retry_left")
-def test_reads_at_a_silent_backend_are_waited_for_where_no_retry_is_left() -> None:
+def test_reads_at_a_silent_backend_are_waited_for_where_no_retry_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    spend_retry_budget(monkeypatch)
     with stage() as s:
         backend = s.add("one")
         backend.script += ["answers much later", "answers much later"]
@@ -65,7 +63,8 @@
 
 # The same at the other proxy: a suspicion alone ends nothing, and what comes after it is the response.
 @pytest.mark.parametrize("method", ["GET", "POST"])
-def test_a_response_after_a_suspicion_is_passed_on(method: str, no_retry_left: None) -> None:
+def test_a_response_after_a_suspicion_is_passed_on(method: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    spend_retry_budget(monkeypatch)
     with stage() as s:
         suspected = Suspected("its backend is silent", IDLE)
         proxy = ScriptedProxy(s.reactor, lambda number, offer: [(number, suspected), (number, whole(b"late"))])
--- a/tests/rules/defects.py
+++ b/tests/rules/defects.py
@@ -119,6 +119,21 @@
     patch.setattr(GracefulShutdown, "can_finish", lambda self, now, time_left_us: True)
 
 
+def a_suspected_read_is_given_up(patch: Patch) -> None:
+    patch.setattr(BackendRequest, "suspect", BackendRequest.on_lost)
+
+
+def a_connection_closes_behind_a_head_that_did_not_say_so(patch: Patch) -> None:
+    def start_draining(self: ClientConnection) -> None:
+        self._is_closing = self._is_closing or bool(self._responses)
+
+    patch.setattr(ClientConnection, "start_draining", start_draining)
+
+
+def a_leaving_proxy_forgets_unsent_bytes(patch: Patch) -> None:
+    patch.setattr(ClientListener, "has_unsent", property(lambda self: False))
+
+
 # Shares
 
 
--- a/tests/rules/test_defects.py
+++ b/tests/rules/test_defects.py
@@ -8,6 +8,7 @@
 
 from tests.mesh import test_chain, test_poll_server
 from tests.mesh.proxy import test_admission, test_graceful_shutdown, test_retry_budget
+from tests.mesh.proxy import test_answers_for_a_backend_at_work as test_answers
 from tests.planted_defects import PATCH, Plant, assert_is_found, broken
 
 from . import (
@@ -67,6 +68,20 @@
         test_graceful_shutdown.test_a_late_request_is_refused_at_once_and_reaches_no_backend,
         PATCH,
     ),
+    broken(
+        defects.a_suspected_read_is_given_up,
+        test_answers.test_reads_at_a_silent_backend_are_waited_for_where_no_retry_is_left,
+        PATCH,
+    ),
+    broken(
+        defects.a_connection_closes_behind_a_head_that_did_not_say_so,
+        test_answers.test_a_connection_whose_last_head_was_sent_before_the_shutdown_serves_one_more_request,
+    ),
+    broken(
+        defects.a_leaving_proxy_forgets_unsent_bytes,
+        test_answers.test_a_leaving_proxy_stays_until_its_clients_have_their_responses,
+        PATCH,
+    ),
     broken(
         defects.a_backend_that_drains_takes_requests,
         test_drain.test_a_backend_that_drains_is_not_reached_by_proxies_that_have_not_heard_of_it,
