Soak: a SIGTERM counts for the process that got it, not for its successor

The judge had taken a SIGTERM to the process before, which had ended in between, for the one that counts.

Change: signals to a process that ended before the request was sent are left out.

--- a/lilacsill/mesh/soak/judge.py
+++ b/lilacsill/mesh/soak/judge.py
@@ -116,11 +116,21 @@
         return None
 
     def _terminated_at(self, request: ClientRequest) -> int | None:
-        """Return when the machine of a request got the SIGTERM that its end falls under."""
+        """Return when the process that took a request got the SIGTERM that its end falls under."""
         last_us = self._grace_us + AFTER_GRACE_US
-        times = [s.at for s in self._terminations if s.key.ip == request.ip and 0 <= request.ended_at - s.at <= last_us]
+        times = [
+            s.at
+            for s in self._terminations
+            if s.key.ip == request.ip
+            and 0 <= request.ended_at - s.at <= last_us
+            and not self._has_ended(s, request.sent_at)
+        ]
         return min(times, default=None)
 
+    def _has_ended(self, sent: SignalSent, before: int) -> bool:
+        """Return whether the process that got a signal ended before a time: what came later met its successor."""
+        return any(end.key == sent.key and sent.at <= end.at <= before for end in self._record.ends)
+
     def _is_excused(self, request: ClientRequest, terminated_at: int) -> bool:
         is_sent_soon = request.sent_at <= terminated_at + EXCUSED_SENT_US
         return is_sent_soon and request.ended_at >= terminated_at + EXCUSED_SHARE * self._grace_us
--- a/tests/mesh/soak/test_judge.py
+++ b/tests/mesh/soak/test_judge.py
@@ -68,6 +68,22 @@
     assert broken(request, work(), signals=(signalled(Signals.SIGTERM, INGRESS, terminated_at),)) == rules
 
 
+# The trace of seed 109: SIGTERM to a process that ended, and 1.3 s later to its successor, which took the request.
+@pytest.mark.parametrize(
+    ("ended_before", "rules"),
+    [
+        pytest.param(SENT_AT - 3 * S, [], id="to the process before"),
+        pytest.param(None, [Rule.LOST_AT_SHUTDOWN], id="to the process that took the request"),
+    ],
+)
+def test_a_signal_counts_for_the_process_that_got_it(ended_before: int | None, rules: list[Rule]) -> None:
+    request = client_request(ended_at=SENT_AT + 3 * S)
+    signals = [signalled(Signals.SIGTERM, INGRESS, SENT_AT + ms * MS) for ms in (-3_751, -2_429)]
+    ends = [] if ended_before is None else [ProcessEnd(signals[0].key, 0, ended_before, ended_before, False)]
+    record = Record(requests=[request], work={"a": [work(ended_at=SENT_AT + 3 * S)]}, signals=signals, ends=ends)
+    assert [violation.rule for violation in Judge(record, GRACE_US).violations()] == rules
+
+
 def test_a_backend_that_ended_by_itself_or_a_deadline_is_no_loss() -> None:
     assert broken(client_request(), work(WorkEnd.ANSWERED, SENT_AT + S // 2)) == []
     assert broken(client_request(ended_at=SENT_AT + 5 * S), work(ended_at=SENT_AT + 5 * S)) == []
