An attempt whose backend may not answer stays open beside the one elsewhere

What callers would see: a 503, or a 502, for a read that its first backend was at work on: after a suspicion that attempt was dropped, and the one elsewhere was rejected or failed.

Change: the suspected attempt keeps its exchange and waits beside the attempt elsewhere. The first response counts, the other attempt is withdrawn; a failure of one leaves the other alone; without any the request ends as before. Arrivals and the retry budget are counted as before, so no request reaches more backends.

--- a/lilacsill/mesh/proxy/attempts.py
+++ b/lilacsill/mesh/proxy/attempts.py
@@ -7,6 +7,15 @@
 MAX_REJECTIONS = 6  # offers that are rejected before the request is refused
 
 
+class Attempt:
+    """One attempt that is under way."""
+
+    __slots__ = ("entry", "number")
+
+    def __init__(self, entry: EndpointLoad, number: int) -> None:
+        self.entry, self.number = entry, number
+
+
 class AttemptHistory:
     """The endpoints that a request has been offered to, by what came of it."""
 
--- a/lilacsill/mesh/proxy/exchange.py
+++ b/lilacsill/mesh/proxy/exchange.py
@@ -45,6 +45,9 @@
     def cancel(self) -> None:
         """Give the exchange up: its outcome is not needed any more."""
 
+    def hand_over(self, listener: OutcomeListener) -> None:
+        """Let another listener have what still comes."""
+
     def pause(self) -> None:
         """Hold back the response, since its client is slow."""
 
@@ -84,6 +87,10 @@
         """Bytes of the body that the backend has not taken."""
         return self._request.unsent if self._request is not None else 0
 
+    def hand_over(self, listener: OutcomeListener) -> None:
+        """Let another listener have what still comes."""
+        self._listener = listener
+
     def cancel(self) -> None:
         """Give the exchange up."""
         self._listener = None
--- a/lilacsill/mesh/proxy/exchange_links.py
+++ b/lilacsill/mesh/proxy/exchange_links.py
@@ -127,6 +127,11 @@
         waiting = sum(len(chunk.data) for chunk in self._chunks)
         return waiting + (self._link.stream.unsent if self._link is not None else 0)
 
+    def hand_over(self, listener: OutcomeListener) -> None:
+        """Let another listener have what still comes."""
+        if self.is_wanted:
+            self._listener = listener
+
     def cancel(self) -> None:
         """Give the exchange up, and its link with it."""
         self._listener = None
--- a/lilacsill/mesh/proxy/forwarded_request.py
+++ b/lilacsill/mesh/proxy/forwarded_request.py
@@ -24,7 +24,7 @@
 )
 from lilacsill.mesh.runtime.reactor import Reactor
 
-from .attempts import AttemptHistory
+from .attempts import Attempt, AttemptHistory
 from .backend_connection import end_to_end_headers
 from .backend_request import MAX_BUFFERED_BYTES
 from .endpoint_table import EndpointLoad
@@ -35,6 +35,7 @@
 from .response_writer import ResponseWriter, retry_after
 from .route_statistics import RouteStatistics
 from .routes import Route
+from .suspected_attempts import SuspectedAttempt
 from .upstreams import Upstreams
 
 # Headers of the client that the proxy sets itself or answers for.
@@ -77,15 +78,6 @@
         """Forget the request."""
 
 
-class Attempt:
-    """One attempt that is under way."""
-
-    __slots__ = ("entry", "number")
-
-    def __init__(self, entry: EndpointLoad, number: int) -> None:
-        self.entry, self.number = entry, number
-
-
 class ForwardedRequest:
     """The state of one request; the `exchange.OutcomeListener` of its exchanges."""
 
@@ -106,6 +98,7 @@
         self._history = AttemptHistory()
         self._attempt: Attempt | None = None
         self._exchange: Exchange | None = None  # of the attempt, or of the response that is being streamed
+        self._suspects: list[SuspectedAttempt] = []  # open beside the attempt
         self._is_streaming = False  # the head of the response has gone to the client
         self.is_over = False
         self._timer = owner.reactor.after(max(0, self._deadline - now) + TIMEOUT_MARGIN_US, self._on_timeout)
@@ -161,7 +154,7 @@
         if self._deadline - now >= MIN_ATTEMPT_US and self._body.is_kept:
             entry = self._history.choose_next(self._table, now)
         if entry is None:
-            self._refuse()
+            self._refuse_unless_suspects()
             return
         self._attempt = Attempt(entry, owner.upstreams.next_attempt())
         self._table.attempt_started(entry, self._attempt.number)
@@ -220,19 +213,50 @@
             self._on_failed_attempt(self._end_attempt(message), message.reason)
 
     def on_suspected(self, message: Suspected) -> None:
-        """Try a read elsewhere, if one more attempt is allowed; otherwise the backend may still answer in time."""
-        exchange = self._exchange
-        if self.is_over or self._is_streaming or exchange is None or not self._route.is_idempotent:
+        """Try a read elsewhere, too, if one more attempt is allowed. The backend may still answer in time."""
+        attempt, exchange = self._attempt, self._exchange
+        if self.is_over or attempt is None or exchange is None or not self._route.is_idempotent:
             return
         if self._history.choose_next(self._table, self._owner.reactor.now()) is None:
             return
         if not self._may_retry(arrivals=self._history.arrivals + 1):
             return
-        entry = self._end_attempt(message)
-        exchange.cancel()
-        self._record_failed(entry, message.reason)
+        self._suspects.append(SuspectedAttempt(self, attempt, exchange))
+        self._attempt = self._exchange = None
+        self._record_failed(attempt.entry, message.reason)
         self._start_attempt()
 
+    def on_suspect_answered(self, suspect: SuspectedAttempt, response: Response) -> None:
+        """Handle the response of a backend that was suspected. A failure counts only where nothing else may come."""
+        if self.is_over:
+            return
+        is_alone = self._attempt is None and self._suspects == [suspect]
+        if response.status >= 500 and not is_alone:
+            suspect.exchange.cancel()
+            self.on_suspect_failed(suspect)
+            return
+        self._suspects.remove(suspect)
+        exchange = self._exchange
+        self._abandon_attempt()
+        if exchange is not None:
+            exchange.cancel()
+        self._attempt, self._exchange = suspect.attempt, suspect.exchange
+        suspect.exchange.hand_over(self)
+        self._on_response(response)
+
+    def on_suspect_failed(self, suspect: SuspectedAttempt) -> None:
+        """Handle that a suspected attempt is over; where it was the last one, the request has failed."""
+        if self.is_over:
+            return
+        self._suspects.remove(suspect)
+        self._end_suspect(suspect)
+        if self._attempt is None and not self._suspects:
+            self._fail()
+
+    def _end_suspect(self, suspect: SuspectedAttempt) -> None:
+        attempt = suspect.attempt
+        self._table.attempt_ended(attempt.entry, attempt.number, None, self._owner.reactor.now())
+
     def on_unreachable(self) -> None:
         """Handle that no link could be opened: the request was offered to nobody."""
         if self.is_over:
@@ -280,7 +304,7 @@
         if is_retried:
             self._start_attempt()
         elif message.not_run:
-            self._refuse()
+            self._refuse_unless_suspects()
         else:
             self._pass_on(message, exchange)
 
@@ -291,6 +315,7 @@
             self._respond(message.status, message.headers, message.body)
             return
         self._exchange, self._is_streaming = exchange, True
+        self._drop_suspects()
         self._owner.counters.responses[message.status] += 1
         length = None if message.content_length < 0 else message.content_length
         unsent = self._response.start_response(message.status, message.headers, length, message.body)
@@ -311,7 +336,12 @@
         self._record_failed(entry, reason)
         if self._route.is_idempotent and self._may_retry():
             self._start_attempt()
-        elif self._owner.reactor.now() >= self._deadline:
+        elif not self._suspects:
+            self._fail()
+
+    def _fail(self) -> None:
+        """Answer that no attempt had a response; the request may have run."""
+        if self._owner.reactor.now() >= self._deadline:
             self._respond(504, [], b"no answer in time\n")
         else:
             self._respond(502, [], b"the backend gave no answer\n")
@@ -339,8 +369,10 @@
 
     # The end
 
-    def _refuse(self) -> None:
-        """Answer that no backend takes the request now. Each that it arrived at has promised that it did not run."""
+    def _refuse_unless_suspects(self) -> None:
+        """Answer that no backend takes the request now, unless one that has it may still answer."""
+        if self._suspects:
+            return
         self._respond(503, [retry_after(self._route.target_us, self._owner.rng)], b"refused\n")
 
     def _on_timeout(self) -> None:
@@ -369,7 +401,14 @@
             exchange.cancel()
         self._response.abort()
 
+    def _drop_suspects(self) -> None:
+        suspects, self._suspects = self._suspects, []
+        for suspect in suspects:
+            suspect.exchange.cancel()
+            self._end_suspect(suspect)
+
     def _set_over(self) -> None:
         self.is_over = True
+        self._drop_suspects()
         self._timer.cancel()
         self._owner.request_ended(self)
--- a/lilacsill/mesh/soak/judge.py
+++ b/lilacsill/mesh/soak/judge.py
@@ -85,7 +85,7 @@
     def _broken_by_response(self, request: ClientRequest) -> Rule | None:
         if request.status == 200:
             return None if request.is_sealed and request.is_intact else Rule.MIXED
-        if request.is_sealed or request.status in PROMISES:
+        if request.is_sealed:
             return None
         work = self._work_under_way(request)
         if work is None or request.ended_at > request.deadline_at - DEADLINE_MARGIN_US:
--- a/tests/mesh/proxy/test_answers_for_a_backend_at_work.py
+++ b/tests/mesh/proxy/test_answers_for_a_backend_at_work.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from lilacsill.mesh.runtime.messages import Suspected
-from tests.control.point_5_world import IDLE, ScriptedProxy, add_scripted, ask, statuses, whole
+from lilacsill.mesh.runtime.messages import BodyChunk, Message, NoResponse, Response, Suspected
+from tests.control.point_5_world import IDLE, ScriptedProxy, add_scripted, ask, head_of, statuses, whole
 from tests.mesh.proxy.test_graceful_shutdown import Leaving
 from tests.mesh.stage import Stage, request, stage
 
@@ -86,6 +86,77 @@
         assert s.forwarder.counters.failed_attempts == {"its backend is silent": 1}
 
 
+class SuspectedRead:
+    """A read whose first backend, far away, is suspected and answers when it is told to; the second one is `one`."""
+
+    def __init__(self, s: Stage, *deeds: str) -> None:
+        self.stage = s
+        s.add("one").script += deeds
+        suspected = Suspected("its backend is silent", IDLE)
+        self.proxy = ScriptedProxy(s.reactor, lambda number, offer: [(number, suspected)])
+        add_scripted(s, self.proxy)
+        self.client = ask(s, "GET", "/reads/a")
+
+    def until_it_is_elsewhere(self) -> None:
+        one = self.stage.backends["one"]
+        self.stage.until(lambda: bool(one.ran), "the second backend has it")
+
+    def first_answers(self, message: Message) -> None:
+        (link,) = self.proxy.links
+        link.send(message, 1)
+
+
+# Guards against a 503 for a read that its first backend was at work on: elsewhere it was only rejected.
+def test_a_suspected_read_that_is_rejected_elsewhere_is_waited_for() -> None:
+    with stage() as s:
+        read = SuspectedRead(s)
+        s.gateways["one"].admission.slots = 1
+        s.gateways["one"].lifecycle.on_stopped("i-one", s.reactor.now())
+        s.until(lambda: s.forwarder.counters.rejections.total() == 1, "the second one rejects it")
+        read.first_answers(whole(b"first"))
+        assert statuses(s, read.client) == [200] and bytes(read.client.answers[0].body) == b"first"
+
+
+def test_the_first_response_of_two_attempts_counts_and_the_other_attempt_ends() -> None:
+    with stage() as s:
+        read = SuspectedRead(s, "is silent")
+        read.until_it_is_elsewhere()
+        read.first_answers(whole(b"first"))
+        assert statuses(s, read.client) == [200] and bytes(read.client.answers[0].body) == b"first"
+        s.until(lambda: not s.gateways["one"].requests, "the second attempt is withdrawn")
+        table = s.forwarder.upstreams.table("stock")
+        assert not any(entry.unreported_attempts for entry in table.entries.values())
+
+
+def test_a_long_response_of_a_suspected_backend_is_streamed() -> None:
+    with stage() as s:
+        read = SuspectedRead(s, "is silent")
+        read.until_it_is_elsewhere()
+        read.first_answers(head_of(b"one ", 8))
+        read.first_answers(BodyChunk(b"two ", True))
+        assert statuses(s, read.client) == [200] and bytes(read.client.answers[0].body) == b"one two "
+
+
+@pytest.mark.parametrize("failure", [NoResponse("reset", IDLE), Response(500, [], b"", True, 0, False, 1, IDLE)])
+def test_a_failure_of_the_suspected_backend_leaves_the_attempt_elsewhere_alone(failure: Message) -> None:
+    with stage() as s:
+        read = SuspectedRead(s, "answers late")
+        read.until_it_is_elsewhere()
+        read.first_answers(failure)
+        assert statuses(s, read.client) == [200]
+
+
+def test_a_read_fails_once_all_its_attempts_have_failed() -> None:
+    with stage() as s:
+        read = SuspectedRead(s, "closes")
+        s.until(lambda: len(read.proxy.offers) == 2, "the second one has failed, the third goes to the first again")
+        read.proxy.links[1].close()
+        s.until(lambda: s.forwarder.counters.failed_attempts["the link ended"] == 1, "the third one has failed")
+        assert not read.client.answers
+        read.proxy.links[0].close()
+        assert statuses(s, read.client) == [502]
+
+
 def test_a_suspected_write_is_never_sent_elsewhere() -> None:
     with stage() as s:
         s.add("one")
--- a/tests/mesh/soak/test_judge.py
+++ b/tests/mesh/soak/test_judge.py
@@ -91,6 +91,10 @@
     assert broken(client_request(status=503), work(WorkEnd.REFUSED)) == []
 
 
+def test_a_refusal_in_place_of_a_backend_that_was_at_work_is_found() -> None:
+    assert broken(client_request(status=503), work()) == [Rule.EARLY_FAILURE]
+
+
 @pytest.mark.parametrize("killed", [INGRESS, EGRESS])
 def test_a_kill_excuses_what_its_machine_loses(killed: str) -> None:
     assert broken(client_request(), work(), signals=(signalled(Signals.SIGKILL, killed, SENT_AT + S // 2),)) == []
@@ -124,7 +128,8 @@
     served = client_request(idempotent=False, status=200, is_sealed=True, is_intact=True)
     assert broken(served, work(WorkEnd.ANSWERED), work(WorkEnd.ANSWERED)) == [Rule.TWICE]
     assert broken(served, work(WorkEnd.REFUSED), work(WorkEnd.ANSWERED)) == []
-    assert broken(client_request(idempotent=False, status=503), work(WorkEnd.ANSWERED)) == [Rule.REFUSED]
+    ended_before = work(WorkEnd.ANSWERED, SENT_AT + S // 2)
+    assert broken(client_request(idempotent=False, status=503), ended_before) == [Rule.REFUSED]
 
 
 def test_a_success_without_seal_or_with_another_body_is_found() -> None:
