--- a/tests/mesh/test_early_signals.py
+++ b/tests/mesh/test_early_signals.py
@@ -72,3 +72,13 @@
     with starting(program, tmp_path) as started:
         started.process.send_signal(signal.SIGTERM)
         assert started.process.wait(PATIENCE_S) == 0
+
+
+# Guards against an end by SIGHUP while the interpreter itself starts, before any code of the program runs.
+def test_a_sighup_while_the_interpreter_starts_ends_nothing(tmp_path: Path) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(NOT_TOML)
+    env = {**os.environ, "LILACSILL_SETTINGS": str(path)}
+    process = subprocess.Popen([sys.executable, "-m", "lilacsill.mesh.proxy"], env=env, stderr=subprocess.DEVNULL)
+    process.send_signal(signal.SIGHUP)
+    assert process.wait(PATIENCE_S) == EXIT_BAD_SETTINGS
