Messages and notes for shared state: tokens of quotas, claims on operations

The shared deployments refuse the first configuration (`Customers`), and behind it nothing of quotas, keys or keyed writes exists. Several parts are written side by side, so what they say to each other is fixed first.

Nothing uses them so far.

Ruled out: a question to the store for each repeat's answer, since the proxy that ran the operation holds it; counts merged by gossip for quotas, because the slack of a tenant of 5/s is 23 requests over 80 proxies.

--- a/lilacsill/mesh/runtime/messages/__init__.py
+++ b/lilacsill/mesh/runtime/messages/__init__.py
@@ -17,8 +17,12 @@
     Item,
     Load,
     Member,
+    OperationOwner,
+    StoredResponse,
     Suspect,
     SuspicionReport,
+    TokenDemand,
+    TokenGrant,
     View,
 )
 from .base import Headers, Message
@@ -38,6 +42,16 @@
 from .discovery import Gossip, GossipReply, IndirectPing, IndirectPingReply, Ping, Poll, PollReply
 from .proxying import BodyChunk, NoResponse, Offer, Rejected, Response, Suspected
 from .replication import Replicate, ReplicateReply, Summary, SummaryRequest
+from .shared_state import (
+    Claim,
+    ClaimReply,
+    ClaimStatus,
+    OperationQuery,
+    OperationReply,
+    OperationState,
+    TokenReply,
+    TokenRequest,
+)
 
 AnyMessage = (
     Offer
@@ -74,6 +88,12 @@
     | Confirmed
     | Status
     | StatusReply
+    | TokenRequest
+    | TokenReply
+    | Claim
+    | ClaimReply
+    | OperationQuery
+    | OperationReply
 )
 
 BadMessage = msgspec.DecodeError
@@ -104,6 +124,9 @@
     "BadMessage",
     "Ballot",
     "BodyChunk",
+    "Claim",
+    "ClaimReply",
+    "ClaimStatus",
     "ConfigUpdate",
     "Confirm",
     "Confirmed",
@@ -126,6 +149,10 @@
     "Message",
     "NoResponse",
     "Offer",
+    "OperationOwner",
+    "OperationQuery",
+    "OperationReply",
+    "OperationState",
     "Patch",
     "Ping",
     "Poll",
@@ -140,11 +167,16 @@
     "Response",
     "Status",
     "StatusReply",
+    "StoredResponse",
     "Summary",
     "SummaryRequest",
-    "Suspected",
     "Suspect",
+    "Suspected",
     "SuspicionReport",
+    "TokenDemand",
+    "TokenGrant",
+    "TokenReply",
+    "TokenRequest",
     "View",
     "ViewChange",
     "ViewChangeReply",
--- a/lilacsill/mesh/runtime/records.py
+++ b/lilacsill/mesh/runtime/records.py
@@ -129,3 +129,34 @@
     PLANNED = 1  # the process ends once a successor has taken its place
     DISK_STALLED = 2  # its disk does not complete writes, which blocks the chain
     IMMEDIATE = 3  # the grace period is over: the process ends now
+
+
+class OperationOwner(msgspec.Struct, array_like=True, gc=False, frozen=True):
+    """One claim on an operation: the proxy that may run it, and which of its claims this is."""
+
+    address: str  # host:port at which that proxy answers other proxies
+    incarnation: int  # identifies the run of that proxy's process (`incarnation.incarnation_id`)
+    claim: int  # number of the claim within that run
+
+
+class StoredResponse(msgspec.Struct, array_like=True, gc=False, frozen=True):
+    """The response of a backend to the first run of an operation, as repeats of the operation receive it."""
+
+    status: int  # of HTTP
+    headers: list[tuple[bytes, bytes]]  # end-to-end header lines, `Server-Seal` among them
+    body: bytes
+
+
+class TokenDemand(msgspec.Struct, array_like=True, gc=False, frozen=True):
+    """How many requests of one tenant wait at a proxy for a token of its quota."""
+
+    tenant: str
+    count: int
+
+
+class TokenGrant(msgspec.Struct, array_like=True, gc=False, frozen=True):
+    """The decision on a `TokenDemand`."""
+
+    tenant: str
+    granted: int  # requests that may be forwarded; the rest of the demand is beyond the quota
+    retry_after_ms: int  # until there will be another token; 0 if all of the demand was granted
--- a/lilacsill/mesh/runtime/settings.py
+++ b/lilacsill/mesh/runtime/settings.py
@@ -13,6 +13,7 @@
 
 ENVIRONMENT_VARIABLE = "LILACSILL_SETTINGS"
 MAX_PORT = 65535
+STORE_PORT_INDEX = 1  # of the ports between processes of the mesh; proxies and registries have the first one
 US_PER_MS, US_PER_S = 1_000, 1_000_000
 
 
@@ -40,6 +41,10 @@
     retry_window_us: int = 10_000_000  # RetryWindowS: over which retries and requests are compared
     retry_ratio: float = 0.2  # RetryRatio: retries that are allowed for each request
     retry_slack: float = 0.0  # RetrySlack: retries that are allowed beyond that in a window
+    key_window_us: int = 60_000_000  # KeyWindowS: for which an operation is remembered after it was sent
+    quota_window_us: int = 5_000_000  # QuotaWindowS: over which the requests of a tenant are counted
+    quota_over: float = 0.1  # QuotaOver: share of its quota that a tenant may be given beyond it
+    quota_slack: float = 20.0  # QuotaSlack: requests that a tenant may be given beyond that in a window
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -66,6 +71,11 @@
     link_mbps: float
     disk_mb: int  # size of the disk; 0: not limited
 
+    @property
+    def store_port(self) -> int:
+        """The port at which members of the store answer; it is the same on all core machines."""
+        return self.internal_ports[0] + STORE_PORT_INDEX
+
 
 def load_settings(path: str | None = None) -> Settings:
     """Read the file that `path` or else the environment names.
@@ -163,6 +173,10 @@
         retry_window_us=_duration_us(values, "RetryWindowS", defaults.retry_window_us),
         retry_ratio=values.get("RetryRatio", defaults.retry_ratio),
         retry_slack=values.get("RetrySlack", defaults.retry_slack),
+        key_window_us=_duration_us(values, "KeyWindowS", defaults.key_window_us),
+        quota_window_us=_duration_us(values, "QuotaWindowS", defaults.quota_window_us),
+        quota_over=values.get("QuotaOver", defaults.quota_over),
+        quota_slack=values.get("QuotaSlack", defaults.quota_slack),
     )
 
 
--- a/lilacsill/mesh/store/process.py
+++ b/lilacsill/mesh/store/process.py
@@ -22,7 +22,6 @@
 from .node import DiskContents, Store, StoreSettings
 from .status import status_of
 
-CONTROL_PORT = 1  # index among the ports between agents
 DISK_SHARE = (
     8  # the state may take this part of the disk: the file, its log and a file that was moved away must all fit
 )
@@ -39,7 +38,7 @@
             OSError: The disk cannot be used, or the address is taken.
         """
         self._settings, self._reactor = settings, reactor
-        port = settings.internal_ports[0] + CONTROL_PORT
+        port = settings.store_port
         address = f"{settings.ip}:{port}"
         disk = Disk(reactor, settings.data_dir)
         environment = LocalEnvironment(reactor, disk, address)
--- /dev/null
+++ b/lilacsill/mesh/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants: whose keys they are, how urgent, and what their quotas are. No I/O."""
