Store: records of operations beside the items of the configuration

Need: which proxy may run an operation has to be on the disks of the whole chain, like a change of the configuration, but registries and proxies must neither get such records nor be woken by some hundred of them a second.

Ruled out: a second chain or a second file (two orders of writes, two repairs); operations as plain items (followers, size bounds and the sequence number of polls would see them).

Change: ConfigState keeps items of the kinds operation and operation_floor apart, in the same order of sequence numbers (SequencedItems). Digests, repairs, disk and items_since cover both; size, tombstones, route index, to_json, config_items_since and config_seq only the configuration. config_seq is derived: the newest change of the configuration or the tombstone floor, at most the state's own number. Applying an operation_floor deletes the operations up to it, on disk in the same transaction. Schema and format of the file stay.

--- a/lilacsill/mesh/simulation/network.py
+++ b/lilacsill/mesh/simulation/network.py
@@ -12,6 +12,7 @@
 from lilacsill.mesh.runtime.messages import Item, Message, decode, encode
 from lilacsill.mesh.store.digests import range_of
 from lilacsill.mesh.store.environment import Answered, Done, Save
+from lilacsill.mesh.store.operation_records import OPERATION, highest_floor
 from lilacsill.timers import Timer, TimerWheel
 
 MS = 1_000
@@ -113,6 +114,10 @@
             del self.items[key]
         for item in save.items:
             self.items[item.kind, item.name] = item
+        operation_floor = highest_floor(save.items)
+        if operation_floor:
+            for key in [k for k, i in self.items.items() if i.kind == OPERATION and i.seq <= operation_floor]:
+                del self.items[key]
         self.facts.update(save.facts)
 
     def power_lost(self, kept_saves: int = -1) -> None:
--- a/lilacsill/mesh/store/disk.py
+++ b/lilacsill/mesh/store/disk.py
@@ -29,6 +29,7 @@
 
 from .digests import checksum_of, range_of
 from .environment import Done, Save
+from .operation_records import OPERATION, highest_floor
 
 FILE_NAME = "store.db"
 RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.05, 0.8  # of a failed commit; the delay doubles each time
@@ -234,6 +235,9 @@
         if save.tombstone_floor:
             db.execute("delete from item where body is null and seq <= ?", (save.tombstone_floor,))
         db.executemany(INSERT, [(*msgspec.structs.astuple(item), checksum_of(item)) for item in save.items])
+        operation_floor = highest_floor(save.items)
+        if operation_floor:
+            db.execute("delete from item where kind = ? and seq <= ?", (OPERATION, operation_floor))
         db.executemany("insert or replace into fact values (?, ?)", list(save.facts.items()))
 
     @staticmethod
--- a/lilacsill/mesh/store/environment.py
+++ b/lilacsill/mesh/store/environment.py
@@ -21,7 +21,8 @@
     """Changes that reach the disk together or not at all.
 
     Attributes:
-        items: Items to write in place of those of the same kind and name.
+        items: Items to write in place of those of the same kind and name. Where an `operation_floor` is among them, the
+            records of operations up to it are deleted (`lilacsill.mesh.store.operation_records`).
         ranges: Ranges of names, see `lilacsill.mesh.store.digests`, in which all items but these are deleted.
         facts: Facts to write, see `lilacsill.mesh.store.facts`.
         tombstone_floor: Tombstones up to this sequence number are deleted.
--- a/lilacsill/mesh/store/followers.py
+++ b/lilacsill/mesh/store/followers.py
@@ -3,6 +3,9 @@
 The tail answers with the changes that the follower lacks and with evidence of how recent they are, and only while it
 holds a read lease. Another member forwards the request and the answer. The time that this takes makes the answer older
 in the follower's view, since the evidence covers only the time that the tail itself held the request.
+
+Followers neither get the records of operations nor are woken by them: the sequence number that they compare is that of
+the newest change of the configuration (`ConfigState.config_seq`).
 """
 
 from __future__ import annotations
@@ -54,7 +57,7 @@
             self._forward(request, reply)
             return
         poll = Poll(request, reply, self._environment.now())
-        if not self._may_answer() or self._replica.state.seq > request.seq:
+        if not self._may_answer() or self._replica.state.config_seq > request.seq:
             self._answer(poll)
             return
         self._polls.append(poll)
@@ -64,7 +67,7 @@
         """Answer the polls that wait for changes that are committed now."""
         if not self._polls or not self._may_answer():
             return
-        seq = self._replica.state.seq
+        seq = self._replica.state.config_seq
         due = [poll for poll in self._polls if poll.request.seq < seq]
         self._polls = [poll for poll in self._polls if poll.request.seq >= seq]
         for poll in due:
@@ -78,13 +81,14 @@
             poll.reply(self._no_update())
             return
         state, now = self._replica.state, self._environment.now()
-        changes = state.items_since(poll.request.seq) if state.seq > poll.request.seq else []
+        seq = state.config_seq
+        changes = state.config_items_since(poll.request.seq) if seq > poll.request.seq else []
         part = _first_part(changes)
         if len(part) < len(changes):
             update = ConfigUpdate(part[-1].seq, without_history(part), NO_PROOF)
         else:
             freshness = freshness_of_reply(now, poll.received_at_us, now)
-            update = ConfigUpdate(state.seq, without_history(changes), freshness)
+            update = ConfigUpdate(seq, without_history(changes), freshness)
         poll.reply(FollowReply(update, self._membership.peers()))
 
     def _no_update(self) -> FollowReply:
--- a/lilacsill/mesh/store/metrics.py
+++ b/lilacsill/mesh/store/metrics.py
@@ -38,7 +38,7 @@
     replica, chain = store.replica, store.chain
     seq, committed = replica.state.seq, chain.committed
     text.gauge("complete", "1 while this replica has all that was acknowledged", replica.complete)
-    text.gauge("config_seq", "Number of the newest change on this disk", seq)
+    text.gauge("config_seq", "Number of the newest change of the configuration on this disk", replica.state.config_seq)
     lag = None if committed is None else seq - committed
     text.gauge("replication_lag", "Changes on this disk that are not known to be on all", lag)
     text.gauge("items", "Items of the configuration, with the dropped ones", len(replica.state.items))
