Replication: a complete copy has no item above its number; large batches in parts

Need: with some hundred changes a second items change during every repair. They came with the ranges that were sent later, under numbers above the one that the copy was complete up to; as a head the copy gives those numbers out once more, and ConfigState.apply drops a change whose number is below that of the item it is for. And more than 64 kB of changes (less than a second of claims) sent all ranges, which is all operations.

Ruled out: leaving newer items out of the ranges (a committed older version would be missing); a larger bound for batches (they share the link with heartbeats).

Change: the last chunk of a repair carries what has changed since its start, and the present number. Changes that are too large for one message go in chunks, without ranges; the successor counts as incomplete until it has the last one, as in a repair. No message changes.

--- a/lilacsill/mesh/store/successor.py
+++ b/lilacsill/mesh/store/successor.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum, auto
 from functools import partial
 from typing import Protocol
@@ -17,7 +18,7 @@
 from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import Item, Member, Message, Replicate, ReplicateReply, Summary, SummaryRequest
 
-from .digests import differing_ranges, range_of
+from .digests import differing_ranges
 from .environment import Answered
 from .replica import Replica
 from .state import size_of
@@ -29,7 +30,7 @@
 REPAIR_CHUNK_BYTES = 32_000  # of a repair in one message at first: heartbeats share the link and must not be delayed
 MAX_REPAIR_CHUNK_BYTES = 16 * REPAIR_CHUNK_BYTES  # where chunks are fast
 FAST_CHUNK_US = 100_000  # after a chunk that was on the next disk within this time the next one may be twice as large
-MAX_BATCH_BYTES = 2 * REPAIR_CHUNK_BYTES  # of changes in one message; more are sent as a repair
+MAX_BATCH_BYTES = 2 * REPAIR_CHUNK_BYTES  # of changes in one message; more are sent in several
 COMPARE_INTERVAL_US = 5_000_000  # between two comparisons of copies that are up to date
 MAX_REPORTED_REPAIRS = 16
 
@@ -173,24 +174,28 @@
     def _send_repair(self, epoch: int, ranges: list[int], seq: int) -> None:
         """Send the next chunk: as many ranges as fit into it, and at least one.
 
-        Items that change during the repair have higher sequence numbers and follow as a batch. A repair that was
+        Items that change during the repair are sent with the last chunk. So a copy that is complete has no item newer
+        than its sequence number, which it would give to another change if it became the head. A repair that was
         interrupted starts anew with a summary, whose digests show which ranges are still to be sent.
         """
         self._state = LinkState.REPAIRING
         items, count = self._chunk_of(ranges)
         remaining = ranges[count:]
         state = self._replica.state
-        message = Replicate(
-            self._replica.view.number,
-            seq,
-            items,
-            True,
-            ranges[:count],
-            not remaining,
-            state.tombstone_floor,
-            self._replica.is_tail,
-        )
-        self._send(message, partial(self._on_repair_reply, epoch, remaining, seq, self._environment.now()))
+        if not remaining:
+            items, seq = _with_changes(items, state.items_since(seq)), state.seq
+        message = self._repair_message(items, seq, ranges[:count], not remaining)
+        send_rest = partial(self._send_repair, epoch, remaining, seq)
+        self._send_chunk(epoch, message, send_rest)
+
+    def _repair_message(self, items: list[Item], seq: int, ranges: list[int], last: bool) -> Replicate:
+        replica = self._replica
+        floor = replica.state.tombstone_floor
+        return Replicate(replica.view.number, seq, items, True, ranges, last, floor, replica.is_tail)
+
+    def _send_chunk(self, epoch: int, message: Replicate, send_rest: Callable[[], None]) -> None:
+        sent_at_us = self._environment.now()
+        self._send(message, partial(self._on_chunk_reply, epoch, message.last, send_rest, sent_at_us))
 
     def _chunk_of(self, ranges: list[int]) -> tuple[list[Item], int]:
         """Return the items of the next chunk, and how many ranges they fill."""
@@ -205,12 +210,12 @@
             count += 1
         return items, count
 
-    def _on_repair_reply(
-        self, epoch: int, remaining: list[int], seq: int, sent_at_us: int, reply: Message | None
+    def _on_chunk_reply(
+        self, epoch: int, was_last: bool, send_rest: Callable[[], None], sent_at_us: int, reply: Message | None
     ) -> None:
         if epoch != self._epoch:
             return
-        if not remaining or not isinstance(reply, ReplicateReply) or not reply.ok:
+        if was_last or not isinstance(reply, ReplicateReply) or not reply.ok:
             self._chunk_bytes = REPAIR_CHUNK_BYTES
             self._replica.state.drop_range_index()
             self._on_batch_reply(epoch, reply)
@@ -219,17 +224,16 @@
             self._chunk_bytes = min(2 * self._chunk_bytes, MAX_REPAIR_CHUNK_BYTES)
         else:
             self._chunk_bytes = max(self._chunk_bytes // 2, REPAIR_CHUNK_BYTES)
-        self._send_repair(epoch, remaining, seq)
+        send_rest()
 
     # Batches of changes
 
     def _send_batch(self, epoch: int, after_seq: int) -> None:
-        """Send all changes after that sequence number; their ranges, as a repair, where the changes are too large."""
+        """Send all changes after that sequence number, in several messages where they are too large for one."""
         state = self._replica.state
         items = state.items_since(after_seq)
         if sum(map(size_of, items)) > MAX_BATCH_BYTES:
-            ranges = sorted({range_of(item.kind, item.name) for item in items})
-            self._send_repair(epoch, ranges, state.seq)
+            self._send_large_batch(epoch, after_seq)
             return
         self._state = LinkState.STREAMING
         message = Replicate(
@@ -244,6 +248,21 @@
         )
         self._send(message, partial(self._on_batch_reply, epoch))
 
+    def _send_large_batch(self, epoch: int, after_seq: int) -> None:
+        """Send the first part of the changes after that sequence number, as a repair of no ranges.
+
+        The successor is not complete until it has the last part: it may have lost an older version of an item that is
+        in a later one.
+        """
+        self._state = LinkState.REPAIRING
+        state = self._replica.state
+        changes = state.items_since(after_seq)
+        part = _first_part(changes, self._chunk_bytes)
+        is_last = len(part) == len(changes)
+        seq = state.seq if is_last else part[-1].seq
+        send_rest = partial(self._send_large_batch, epoch, seq)
+        self._send_chunk(epoch, self._repair_message(part, seq, [], is_last), send_rest)
+
     def _on_batch_reply(self, epoch: int, reply: Message | None) -> None:
         """Take the reply to a batch, or to the last chunk of a repair."""
         if epoch != self._epoch:
@@ -296,3 +315,21 @@
         if isinstance(summary, Summary) and summary.seq == state.seq and summary.digests != state.digests:
             self._lose_track()
             self.advance()
+
+
+def _with_changes(items: list[Item], changes: list[Item]) -> list[Item]:
+    """Return the items and those changes that are not among them."""
+    if not changes:
+        return items
+    sent = {(item.kind, item.name) for item in items}
+    return items + [item for item in changes if (item.kind, item.name) not in sent]
+
+
+def _first_part(changes: list[Item], max_bytes: int) -> list[Item]:
+    """Return the first changes, up to so many bytes; one at least, if there are any."""
+    size = 0
+    for index, item in enumerate(changes):
+        size += size_of(item)
+        if size > max_bytes and index:
+            return changes[:index]
+    return changes
--- a/tests/mesh/test_successor.py
+++ b/tests/mesh/test_successor.py
@@ -240,3 +240,42 @@
     waiters.fail_all()
     waiters.fail_all()
     assert called[3:] == [(4, False)]
+
+
+def test_what_changes_during_a_repair_comes_with_the_last_chunk(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(successor, "REPAIR_CHUNK_BYTES", 1)
+    head = Head()
+    head.link.start()
+    head.environment.answer(Summary(False, 0, []))
+    copy = ConfigState()
+    while True:
+        chunk = head.replicate_sent()
+        copy.replace_ranges(chunk.ranges, chunk.items, chunk.seq if chunk.last else None)
+        if chunk.last:
+            break
+        head.replica.state.apply(items(head.replica.state.seq + 1), head.replica.state.seq + 1)
+        head.environment.answer(ReplicateReply(True, 0))
+    assert copy.digests == head.replica.state.digests
+    assert chunk.seq == copy.seq == head.replica.state.seq == max(item.seq for item in copy.items.values())
+
+
+def test_changes_that_are_too_large_for_one_message_come_in_several(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(successor, "MAX_BATCH_BYTES", 1000)
+    monkeypatch.setattr(successor, "REPAIR_CHUNK_BYTES", 500)
+    head = Head()
+    head.stream()
+    copy = ConfigState()
+    copy.apply(items(1, 2), 2)
+    head.replica.state.apply(items(*range(3, 50)), 49)
+    head.link.advance()
+    chunks = [head.replicate_sent()]
+    while not chunks[-1].last:
+        assert head.link.acked_seq == 2 and chunks[-1].is_repair and not chunks[-1].ranges
+        copy.replace_ranges([], chunks[-1].items, None)
+        latest = head.replica.state.seq + 1
+        head.replica.state.apply([Item("route", f"r{latest % 60}", 2, latest, b"{}")], latest)
+        head.environment.answer(ReplicateReply(True, 0))
+        chunks.append(head.replicate_sent())
+    copy.replace_ranges([], chunks[-1].items, chunks[-1].seq)
+    assert len(chunks) > 2 and sum(len(chunk.items) for chunk in chunks) < 70
+    assert copy.digests == head.replica.state.digests and copy.seq == head.replica.state.seq
