Store: what is on the chain's disks is checked in one place

Need: claims on operations must pass the same check for enough copies as operators' calls, and their replies go out once, too.

Change: CommitCheck (check of copies, confirmation by a majority) and replies.once are taken out of Frontend as they were; the planted defect refusals_need_nobody takes the guard away at its new place.

--- a/lilacsill/mesh/store/frontend.py
+++ b/lilacsill/mesh/store/frontend.py
@@ -6,20 +6,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from lilacsill.mesh.runtime.messages import Confirm, Confirmed, Item, Member, Message, Patch, Read, Reply
+from lilacsill.mesh.runtime.messages import Confirm, Confirmed, Item, Member, Patch, Read, Reply
 
 from .chain import Chain
+from .commit_check import CommitCheck
 from .draft import Draft
 from .forwarding import OUTCOME_UNKNOWN, Forwarding
-from .quorum import confirm_view
 from .recent_refusals import RecentRefusals
 from .rejections import Rejection, StateTooLarge
 from .replica import Replica
+from .replies import Replier, once
 
 if TYPE_CHECKING:
     from .calls import Call
@@ -31,8 +31,6 @@
 REJECTED_RECENTLY = Reply(503, b'{"Message":"it was refused a moment ago; send it again"}')
 OVERLOADED = Reply(503, b'{"Message":"too many calls at once"}')
 
-Replier = Callable[[Message], None]
-
 
 class _WaitingCall(msgspec.Struct, frozen=True):
     """A call that waits at the head until the head may append changes."""
@@ -50,10 +48,9 @@
         rejections: Status and reason of the latest rejected calls, the newest last, for operators.
     """
 
-    def __init__(self, replica: Replica, chain: Chain, has_too_few_copies: Callable[[], bool]) -> None:
-        """`has_too_few_copies`: whether changes are on too few disks as long as a learner has not joined the chain."""
+    def __init__(self, replica: Replica, chain: Chain, commit_check: CommitCheck) -> None:
         self._replica, self._environment, self._chain = replica, replica.environment, chain
-        self._has_too_few_copies = has_too_few_copies
+        self._commit_check = commit_check
         self._waiting_calls: list[_WaitingCall] = []
         self._recent_refusals = RecentRefusals()
         self.max_state_bytes = DEFAULT_MAX_STATE_BYTES
@@ -77,12 +74,12 @@
         parsed = parse_call(request.body)
         if not is_success(parsed):
             rejection = self._rejection(parsed.failure())
-            self._if_in_force(lambda ok: reply(rejection if ok else OUTCOME_UNKNOWN))
+            self._commit_check.confirm(lambda ok: reply(rejection if ok else OUTCOME_UNKNOWN))
             return
         if len(self._waiting_calls) >= MAX_WAITING_CALLS:
             reply(OVERLOADED)
             return
-        answer = _once(reply)
+        answer = once(reply)
         self._environment.after(CALL_TIMEOUT_US, answer, OUTCOME_UNKNOWN)
         self._waiting_calls.append(_WaitingCall(request.body, parsed.unwrap(), answer))
         self.append_waiting_calls()
@@ -102,29 +99,10 @@
 
         changes: list[Item] = list(draft.items.values())
         if changes:
-            self._chain.replicate(changes, draft.seq, lambda ok: self._check_copies(ok, False, on_commit))
+            self._chain.replicate(changes, draft.seq, lambda ok: self._commit_check.check_copies(ok, False, on_commit))
             return
         # Nothing changes, but the state that the answers depend on must be committed, too.
-        self._chain.wait_for_commit(draft.seq, lambda ok: self._check_copies(ok, True, on_commit))
-
-    def _check_copies(self, ok: bool, confirm: bool, done: Callable[[bool], None]) -> None:
-        """Acknowledge what all of the chain have on disk only if these are enough disks.
-
-        After losses beyond what may be lost the chain may be short. A change that only a minority of the view has on
-        disk is acknowledged after a majority has confirmed the view, and not before a machine has joined that can.
-
-        Args:
-            ok: Whether all of the chain have it on disk.
-            confirm: Whether the view must be confirmed whatever the length of the chain.
-            done: Called with whether it may be acknowledged.
-        """
-        view = self._replica.view
-        if not ok or self._has_too_few_copies():
-            done(False)
-        elif confirm or len(view.chain) < view.majority:
-            self._if_in_force(done)
-        else:
-            done(True)
+        self._chain.wait_for_commit(draft.seq, lambda ok: self._commit_check.check_copies(ok, True, on_commit))
 
     def _validate(self, draft: Draft, waiting: _WaitingCall) -> Reply:
         """Return the answer to a call once its state is committed. The changes of an accepted call go to the draft."""
@@ -169,7 +147,7 @@
             reply(OUTCOME_UNKNOWN)
             return
         body = replica.state.to_json()
-        self._if_in_force(lambda ok: reply(Reply(200, body) if ok else OUTCOME_UNKNOWN))
+        self._commit_check.confirm(lambda ok: reply(Reply(200, body) if ok else OUTCOME_UNKNOWN))
 
     def handle_confirm(self, request: Confirm, reply: Replier) -> None:
         """Tell another member whether the view that it asks about is in force, as far as this member knows."""
@@ -179,25 +157,8 @@
 
     # Either
 
-    def _if_in_force(self, done: Callable[[bool], None]) -> None:
-        """Ask a majority of the view: an answer that depends on the state of this member alone needs one."""
-        confirm_view(self._replica, done)
-
     def _head(self) -> Member | None:
         return next(iter(self._replica.view.chain), None)
 
     def _tail(self) -> Member | None:
         return next(reversed(self._replica.view.chain), None)
-
-
-def _once(reply: Replier) -> Replier:
-    """Return a callback that passes on only the first of several answers."""
-    is_answered = False
-
-    def answer(message: Message) -> None:
-        nonlocal is_answered
-        if not is_answered:
-            is_answered = True
-            reply(message)
-
-    return answer
--- a/lilacsill/mesh/store/node.py
+++ b/lilacsill/mesh/store/node.py
@@ -9,6 +9,7 @@
 
 from lilacsill.mesh.runtime.messages import (
     Accept,
+    Claim,
     Confirm,
     Follow,
     Heartbeat,
@@ -27,14 +28,17 @@
 from . import facts
 from .chain import Chain
 from .cluster_monitor import FaultTolerance
+from .commit_check import CommitCheck
 from .environment import Environment, Save, ignore_completion
 from .followers import Followers
 from .frontend import Frontend
 from .lease_manager import LeaseManager
 from .membership import Membership
+from .operation_claims import OperationClaims
 from .paxos import AcceptorState
 from .replica import NO_VIEW, Replica
 
+DEFAULT_KEY_WINDOW_US = 60_000_000  # as of `TimingBounds`
 FIRST_INCARNATION = "first"  # of the disk of a seed when the whole system starts for the first time
 
 Handler = Callable[[Any, Callable[[Message], None]], None]
@@ -50,6 +54,7 @@
         new_incarnation: Incarnation of this machine's disk if the disk is empty.
         max_lost_machines: So many machines may be lost at once.
         max_lost_zones: So many zones or regions may be lost at once.
+        key_window_us: For so long after an operation was sent its repeats may come.
     """
 
     address: str
@@ -58,6 +63,7 @@
     new_incarnation: str
     max_lost_machines: int
     max_lost_zones: int = 0
+    key_window_us: int = DEFAULT_KEY_WINDOW_US
 
 
 class DiskContents(msgspec.Struct, frozen=True):
@@ -76,7 +82,9 @@
         self.lease_manager = lease_manager = LeaseManager(replica, self._on_leases_released)
         tolerance = FaultTolerance(settings.max_lost_machines, settings.max_lost_zones)
         self.membership = membership = Membership(replica, chain, lease_manager, settings.seeds, tolerance)
-        self.frontend = frontend = Frontend(replica, chain, membership.has_too_few_copies)
+        commit_check = CommitCheck(replica, membership.has_too_few_copies)
+        self.frontend = frontend = Frontend(replica, chain, commit_check)
+        self.operation_claims = claims = OperationClaims(replica, chain, commit_check, settings.key_window_us)
         self.followers = followers = Followers(replica, chain, membership)
         self.handlers: dict[type, Handler] = {
             Heartbeat: membership.handle_heartbeat,
@@ -87,6 +95,7 @@
             Read: frontend.handle_read,
             Follow: followers.handle_follow,
             Confirm: frontend.handle_confirm,
+            Claim: claims.handle_claim,
             Prepare: lease_manager.prepare,
             Accept: lease_manager.accept,
         }
@@ -95,6 +104,7 @@
         """Begin to replicate and to send heartbeats."""
         self.chain.start()
         self.membership.start()
+        self.operation_claims.start()
 
     def _on_leases_released(self) -> None:
         self.membership.on_leases_released()
@@ -106,8 +116,9 @@
         self.followers.publish()
 
     def on_writable(self) -> None:
-        """Replicate the calls that wait at the head."""
+        """Replicate the calls and the claims that wait at the head."""
         self.frontend.append_waiting_calls()
+        self.operation_claims.append_waiting_claims()
 
     def on_learner_synced(self) -> None:
         """Go on to the next learner."""
--- a/tests/control/defects_point_1.py
+++ b/tests/control/defects_point_1.py
@@ -12,7 +12,7 @@
 from lilacsill.mesh.runtime import freshness
 from lilacsill.mesh.runtime.freshness import FreshnessTracker
 from lilacsill.mesh.runtime.messages import Accept, Freshness, HeartbeatReply, Message, Prepare
-from lilacsill.mesh.store.frontend import Frontend
+from lilacsill.mesh.store.commit_check import CommitCheck
 from lilacsill.mesh.store.lease_manager import LeaseManager
 from lilacsill.mesh.store.leases import LEASE_US, LeaseGrantor, LeaseHolder
 
@@ -78,7 +78,7 @@
 
 
 def refusals_need_nobody(patch: Patch) -> None:
-    patch.setattr(Frontend, "_if_in_force", lambda self, done: done(True))
+    patch.setattr(CommitCheck, "confirm", lambda self, done: done(True))
 
 
 def the_age_told_is_ignored(patch: Patch) -> None:
