Store: claims on operations, granted once the whole chain has them on disk

Need: two requests with one key of one tenant must not both run within KeyWindowS, whatever machines receive them and whatever is lost within Survive between them (TWICE).

Ruled out: a grant by leases alone (lost with the power); an answer for a known claim from the head's own state (a head that lost its place would grant what its successor has replaced).

Change: Claim is handled at the head (OperationClaims). Claims that wait for the head's disk are decided one on top of the other (ClaimBatch) and appended together; GRANTED follows the commit on the whole chain and CommitCheck; a claim whose record was there is confirmed by a majority, too; OWNED and FULL count at once; everything else is UNKNOWN with the view and the chain.

--- /dev/null
+++ b/lilacsill/mesh/store/operation_claims.py
@@ -0,0 +1,174 @@
+"""The entry of claims on operations: which proxy may run an operation, as the head of the chain records it. No I/O.
+
+A claim is granted when its record is on the disks of all of the chain, and these are enough disks. Claims that come
+while the head cannot append wait and are appended together, each with a record of its own. A member that is not the
+head, or does not know the outcome, says so and names the chain; a claim may be repeated as it is.
+"""
+
+from __future__ import annotations
+
+from functools import partial
+
+import msgspec
+
+from lilacsill.mesh.runtime.messages import Claim, ClaimReply, ClaimStatus, OperationOwner
+from lilacsill.timers import Timer
+
+from .chain import Chain
+from .claim_batch import ClaimBatch, ClaimDecision
+from .commit_check import CommitCheck
+from .operation_retention import OperationRetention
+from .replica import Replica
+from .replies import Replier
+
+CLAIM_TIMEOUT_US = 800_000  # as of the calls of operators
+MAX_WAITING_CLAIMS = 4096  # what 400 claims a second are in ten seconds; more are not known to have an outcome
+CHECKPOINT_INTERVAL_US = 5_000_000
+
+
+class ClaimCounts(msgspec.Struct):
+    """Claims that this member has answered in this run of the process, by outcome."""
+
+    granted: int = 0
+    owned: int = 0
+    unknown: int = 0
+    full: int = 0
+    replaced: int = 0  # claims, among those appended, that took the place of another one
+
+    def add(self, status: ClaimStatus) -> None:
+        """Count one answer."""
+        field = status.name.lower()
+        setattr(self, field, getattr(self, field) + 1)
+
+
+class _PendingClaim:
+    """A claim that is not answered yet."""
+
+    def __init__(self, claim: Claim, reply: Replier) -> None:
+        self.claim, self._reply = claim, reply
+        self.timer: Timer | None = None
+        self.is_answered = False
+
+    def answer(self, message: ClaimReply) -> None:
+        self.is_answered = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self._reply(message)
+
+
+class OperationClaims:
+    """The entry at one member.
+
+    Attributes:
+        counts: For operators.
+    """
+
+    def __init__(self, replica: Replica, chain: Chain, commit_check: CommitCheck, key_window_us: int) -> None:
+        self._replica, self._environment, self._chain = replica, replica.environment, chain
+        self._commit_check = commit_check
+        self._retention = OperationRetention(key_window_us)
+        self._waiting: list[_PendingClaim] = []
+        self._was_head_in = replica.view.number if replica.is_head else None  # number of the last view as the head
+        self.counts = ClaimCounts()
+        replica.view_listeners.append(self._on_view)
+
+    def start(self) -> None:
+        """Begin to delete old records, where this member is the head."""
+        self._check_retention()
+
+    # Claims
+
+    def handle_claim(self, claim: Claim, reply: Replier) -> None:
+        """Decide a claim at the head; elsewhere tell who that is."""
+        pending = _PendingClaim(claim, reply)
+        is_head = self._replica.is_head and self._replica.complete
+        if not is_head or len(self._waiting) >= MAX_WAITING_CLAIMS:
+            self._answer(pending, ClaimStatus.UNKNOWN)
+            return
+        pending.timer = self._environment.after(CLAIM_TIMEOUT_US, self._answer, pending, ClaimStatus.UNKNOWN)
+        self._waiting.append(pending)
+        self.append_waiting_claims()
+
+    def append_waiting_claims(self) -> None:
+        """Decide all waiting claims, one on top of the other, and replicate their records together."""
+        if not self._chain.may_append:
+            return
+        # One that was answered already is not recorded: its proxy may have stated that it will never run the operation.
+        claims = [pending for pending in self._waiting if not pending.is_answered]
+        self._waiting = []
+        floor = self._due_floor()
+        if claims or floor:
+            self._append(claims, floor)
+
+    def _append(self, claims: list[_PendingClaim], floor: int) -> None:
+        state = self._replica.state
+        first_seq = state.seq
+        batch = ClaimBatch(first_seq, state.operation, state.operation_count)
+        if floor:
+            batch.raise_floor(floor)
+        decisions = [(pending, batch.decide(pending.claim)) for pending in claims]
+        self.counts.replaced += batch.replaced
+        appended = [pending for pending, decision in decisions if decision.recorded_seq > first_seq]
+        if batch.items:
+            on_commit = partial(self._on_appended, appended)
+            self._chain.replicate(batch.items, batch.seq, on_commit)
+        for pending, decision in decisions:
+            if decision.recorded_seq <= first_seq:
+                self._answer_present(pending, decision)
+
+    def _on_appended(self, claims: list[_PendingClaim], is_on_chain: bool) -> None:
+        self._commit_check.check_copies(is_on_chain, False, partial(self._grant, claims))
+
+    def _answer_present(self, pending: _PendingClaim, decision: ClaimDecision) -> None:
+        """Answer a claim for which nothing is appended."""
+        if decision.status is not ClaimStatus.GRANTED:
+            self._answer(pending, decision.status, decision.owner)
+            return
+
+        # The record was there before: it may be uncommitted, and it may be that of a head that lost its place.
+        def on_commit(is_on_chain: bool) -> None:
+            self._commit_check.check_copies(is_on_chain, True, partial(self._grant, [pending]))
+
+        self._chain.wait_for_commit(decision.recorded_seq, on_commit)
+
+    def _grant(self, claims: list[_PendingClaim], may_grant: bool) -> None:
+        for pending in claims:
+            self._answer(pending, ClaimStatus.GRANTED if may_grant else ClaimStatus.UNKNOWN)
+
+    def _answer(self, pending: _PendingClaim, status: ClaimStatus, owner: OperationOwner | None = None) -> None:
+        if pending.is_answered:
+            return
+        self.counts.add(status)
+        view = self._replica.view
+        members = [member.address for member in view.chain]
+        pending.answer(ClaimReply(status, owner, view.number, members))
+
+    # Retention
+
+    def _check_retention(self) -> None:
+        self._environment.after(CHECKPOINT_INTERVAL_US, self._check_retention)
+        replica = self._replica
+        if not replica.is_head or not replica.complete:
+            self._retention.clear()
+            return
+        self._retention.record(self._environment.now(), replica.state.seq)
+        self.append_waiting_claims()
+
+    def _due_floor(self) -> int:
+        """Return the sequence number up to which records are to be deleted now; 0: there is nothing to delete."""
+        floor = self._retention.floor(self._environment.now())
+        if not floor:
+            return 0
+        oldest_seq = self._replica.state.oldest_operation_seq()
+        return floor if oldest_seq is not None and oldest_seq <= floor else 0
+
+    # Views
+
+    def _on_view(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for pending in waiting:
+            self._answer(pending, ClaimStatus.UNKNOWN)
+        number = self._replica.view.number
+        if not self._replica.is_head or self._was_head_in != number - 1:
+            self._retention.clear()  # others may have given out the numbers since
+        self._was_head_in = number if self._replica.is_head else None
