--- a/lilacsill/mesh/store/metrics.py
+++ b/lilacsill/mesh/store/metrics.py
@@ -6,6 +6,7 @@
 
 from .membership import LearnerState
 from .node import Store
+from .operation_claims import ClaimCounts
 
 US_PER_S = 1_000_000
 
@@ -15,6 +16,7 @@
     text = MetricsText()
     _add_view(text, store, now)
     _add_replication(text, store)
+    _add_claims(text, store.operation_claims.counts)
     return text.encode()
 
 
@@ -43,7 +45,16 @@
     text.gauge("replication_lag", "Changes on this disk that are not known to be on all", lag)
     text.gauge("items", "Items of the configuration, with the dropped ones", len(replica.state.items))
     text.gauge("state_bytes", "Bytes of these items", replica.state.size)
+    text.gauge(
+        "operations", "Records of operations, those that run and those that have run", replica.state.operation_count
+    )
     save_age_us = replica.environment.oldest_save_age_us()
     text.gauge("oldest_save_age_seconds", "Age of the oldest write that the disk has not done", save_age_us / US_PER_S)
     text.counter("calls_rejected", "Calls of operators that this head refused", store.frontend.rejected)
     text.counter("repairs", "Repairs of the successor", chain.successor.repair_count)
+
+
+def _add_claims(text: MetricsText, counts: ClaimCounts) -> None:
+    by_outcome = {"granted": counts.granted, "owned": counts.owned, "unknown": counts.unknown, "full": counts.full}
+    text.counter_by("outcome", "claims", "Claims on operations that this replica has answered, by outcome", by_outcome)
+    text.counter("claims_replaced", "Claims that took the place of another one", counts.replaced)
--- a/lilacsill/mesh/store/status.py
+++ b/lilacsill/mesh/store/status.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+import msgspec
+
 from .node import Store
 
 US_PER_MS = 1000
@@ -27,9 +29,13 @@
         "leaving": membership.departure_blocker(),
         **store.lease_manager.status(),
         "seq": replica.state.seq,
+        "config_seq": replica.state.config_seq,
         "committed": chain.committed,
         "digest": f"{replica.state.digest():016x}",
         "items": len(replica.state.items),
+        "operations": replica.state.operation_count,
+        "operation_floor": replica.state.operation_floor,
+        "claims": msgspec.structs.asdict(store.operation_claims.counts),
         "oldest_save_age_ms": replica.environment.oldest_save_age_us() // US_PER_MS,
         "peers": membership.peers(),
         "rejections": store.frontend.rejections,
