Claims: look for a floor at each check of the retention, not at each batch

Need: after the first period every batch asked for the oldest record; the first entry of a dictionary from whose front much was deleted is found by a walk over the gaps.

Change: the check that runs every 5 s decides on the floor, and the next changes carry it. ClaimCounts counts by ClaimStatus instead of by the names of its fields.

--- a/lilacsill/mesh/store/metrics.py
+++ b/lilacsill/mesh/store/metrics.py
@@ -55,6 +55,6 @@
 
 
 def _add_claims(text: MetricsText, counts: ClaimCounts) -> None:
-    by_outcome = {"granted": counts.granted, "owned": counts.owned, "unknown": counts.unknown, "full": counts.full}
-    text.counter_by("outcome", "claims", "Claims on operations that this replica has answered, by outcome", by_outcome)
+    meaning = "Claims on operations that this replica has answered, by outcome"
+    text.counter_by("outcome", "claims", meaning, counts.by_outcome())
     text.counter("claims_replaced", "Claims that took the place of another one", counts.replaced)
--- a/lilacsill/mesh/store/operation_claims.py
+++ b/lilacsill/mesh/store/operation_claims.py
@@ -17,7 +17,7 @@
 from .chain import Chain
 from .claim_batch import ClaimBatch, ClaimDecision
 from .commit_check import CommitCheck
-from .operation_retention import OperationRetention
+from .operation_retention import NOTHING, OperationRetention
 from .replica import Replica
 from .replies import Replier
 
@@ -26,19 +26,24 @@
 CHECKPOINT_INTERVAL_US = 5_000_000
 
 
+def _no_answers() -> dict[ClaimStatus, int]:
+    return dict.fromkeys(ClaimStatus, 0)
+
+
 class ClaimCounts(msgspec.Struct):
-    """Claims that this member has answered in this run of the process, by outcome."""
+    """Counts of this member in this run of the process.
+
+    Attributes:
+        answered: Claims that were answered, by outcome.
+        replaced: Claims that took the place of another one.
+    """
 
-    granted: int = 0
-    owned: int = 0
-    unknown: int = 0
-    full: int = 0
-    replaced: int = 0  # claims, among those appended, that took the place of another one
+    answered: dict[ClaimStatus, int] = msgspec.field(default_factory=_no_answers)
+    replaced: int = 0
 
-    def add(self, status: ClaimStatus) -> None:
-        """Count one answer."""
-        field = status.name.lower()
-        setattr(self, field, getattr(self, field) + 1)
+    def by_outcome(self) -> dict[str, int]:
+        """Return the answered claims by the name of the outcome."""
+        return {status.name.lower(): count for status, count in self.answered.items()}
 
 
 class _PendingClaim:
@@ -68,6 +73,7 @@
         self._commit_check = commit_check
         self._retention = OperationRetention(key_window_us)
         self._waiting: list[_PendingClaim] = []
+        self._due_floor = NOTHING  # records up to this sequence number are deleted with the next changes
         self._was_head_in = replica.view.number if replica.is_head else None  # number of the last view as the head
         self.counts = ClaimCounts()
         replica.view_listeners.append(self._on_view)
@@ -96,7 +102,7 @@
         # One that was answered already is not recorded: its proxy may have stated that it will never run the operation.
         claims = [pending for pending in self._waiting if not pending.is_answered]
         self._waiting = []
-        floor = self._due_floor()
+        floor, self._due_floor = self._due_floor, NOTHING
         if claims or floor:
             self._append(claims, floor)
 
@@ -138,7 +144,7 @@
     def _answer(self, pending: _PendingClaim, status: ClaimStatus, owner: OperationOwner | None = None) -> None:
         if pending.is_answered:
             return
-        self.counts.add(status)
+        self.counts.answered[status] += 1
         view = self._replica.view
         members = [member.address for member in view.chain]
         pending.answer(ClaimReply(status, owner, view.number, members))
@@ -151,23 +157,20 @@
         if not replica.is_head or not replica.complete:
             self._retention.clear()
             return
-        self._retention.record(self._environment.now(), replica.state.seq)
+        now = self._environment.now()
+        self._retention.record(now, replica.state.seq)
+        oldest_seq = replica.state.oldest_operation_seq()
+        floor = self._retention.floor(now)
+        self._due_floor = floor if oldest_seq is not None and oldest_seq <= floor else NOTHING
         self.append_waiting_claims()
 
-    def _due_floor(self) -> int:
-        """Return the sequence number up to which records are to be deleted now; 0: there is nothing to delete."""
-        floor = self._retention.floor(self._environment.now())
-        if not floor:
-            return 0
-        oldest_seq = self._replica.state.oldest_operation_seq()
-        return floor if oldest_seq is not None and oldest_seq <= floor else 0
-
     # Views
 
     def _on_view(self) -> None:
         waiting, self._waiting = self._waiting, []
         for pending in waiting:
             self._answer(pending, ClaimStatus.UNKNOWN)
+        self._due_floor = NOTHING
         number = self._replica.view.number
         if not self._replica.is_head or self._was_head_in != number - 1:
             self._retention.clear()  # others may have given out the numbers since
--- a/lilacsill/mesh/store/status.py
+++ b/lilacsill/mesh/store/status.py
@@ -4,8 +4,6 @@
 
 from typing import Any
 
-import msgspec
-
 from .node import Store
 
 US_PER_MS = 1000
@@ -14,7 +12,7 @@
 def status_of(store: Store) -> dict[str, Any]:
     """Return the status of a replica, to be encoded as JSON."""
     replica, membership, chain = store.replica, store.membership, store.chain
-    view = replica.view
+    view, claims = replica.view, store.operation_claims.counts
     return {
         "address": replica.me.address,
         "incarnation": replica.me.incarnation,
@@ -35,7 +33,7 @@
         "items": len(replica.state.items),
         "operations": replica.state.operation_count,
         "operation_floor": replica.state.operation_floor,
-        "claims": msgspec.structs.asdict(store.operation_claims.counts),
+        "claims": {**claims.by_outcome(), "replaced": claims.replaced},
         "oldest_save_age_ms": replica.environment.oldest_save_age_us() // US_PER_MS,
         "peers": membership.peers(),
         "rejections": store.frontend.rejections,
