--- a/lilacsill/mesh/simulation/claim_day.py
+++ b/lilacsill/mesh/simulation/claim_day.py
@@ -1,5 +1,8 @@
 """A day of the store (`store_day`) on which proxies claim operations, judged from outside.
 
+The day ends with a closing fault: at the moment of a grant all machines lose their power, and as many members as may be
+lost lose their disks.
+
 Judged: of all that claim one operation, at any members and through any losses within `Survive`, one is granted it;
 another one is granted it only in place of an owner that has released it, and by naming that owner. Claims are granted
 again once all is quiet, and what was granted is then still known.
@@ -102,13 +105,18 @@
         self._claimants = [Claimant(self.fleet, o.machine, self.judge, rng) for o in self.operators]
         self._operations = 0
         self._is_over = False
+        self._strikes_at_grant = False
 
     def play(self, length_us: int = 20 * SECOND) -> None:
         """Play the day. Raises RuleBroken, or what stopped a member."""
         self._claim_next()
         super().play(length_us)
-        self._is_over = True
+        self._strikes_at_grant = True
         self.net.time.run(self.net.time.now + 4 * SECOND)
+        if self._strikes_at_grant:
+            raise RuleBroken("no claim is granted after all is quiet")
+        self._is_over = True
+        self.net.time.run(self.net.time.now + 8 * SECOND)
         self._judge_at_the_end()
 
     def _claim_next(self) -> None:
@@ -127,6 +135,9 @@
 
     def _on_answer(self, claim: Claim, reply: ClaimReply) -> None:
         if reply.status == ClaimStatus.GRANTED:
+            if self._strikes_at_grant:
+                self._strikes_at_grant = False
+                self._lose_all_power()
             if self._claims_rng.random() < RELEASED:
                 self.judge.release(claim.owner)
             return
@@ -137,6 +148,18 @@
         elif claim.replaces is None:
             self._claim_by_rivals(claim.operation, NOBODY)
 
+    def _lose_all_power(self) -> None:
+        stores = sorted(self.fleet.stores)
+        newest = max((self.fleet.stores[a].replica.view for a in stores), key=lambda view: view.number)
+        members = [member.address for member in newest.members]
+        wiped = self._claims_rng.sample(members, min(self.fleet.lost, len(members)))
+        for address in stores:
+            machine = self.net.machines[address]
+            machine.end(power=True)
+            if address in wiped:
+                machine.disk.wiped()
+            self.net.time.after(500 * MS + self._claims_rng.randrange(500 * MS), self.fleet.start, address)
+
     def _judge_at_the_end(self) -> None:
         """Check that a new claim is granted, and that each owner is still known."""
         claimant, answers = self._claimants[0], dict[str, ClaimReply]()
--- a/tests/mesh/test_operation_claims.py
+++ b/tests/mesh/test_operation_claims.py
@@ -9,6 +9,8 @@
 
 from lilacsill.mesh.simulation.claim_day import drawn_claims
 from lilacsill.mesh.store import claim_batch
+from lilacsill.mesh.store.metrics import encode_metrics
+from lilacsill.mesh.store.status import status_of
 
 from . import defects_operations as defects
 from . import operation_scenarios as scenarios
@@ -59,6 +61,20 @@
     assert violations(range(DAYS, DAYS + SAMPLE)) == []
 
 
+def test_operators_see_records_and_claims() -> None:
+    scene = scenarios.ClaimScene(26)
+    scene.claim(1)
+    scene.claim(2)
+    (tail,) = (store for store in scene.stores() if store.replica.is_tail)
+    scene.send(scene.chain()[-1], 3)
+    scene.run(1_000_000)
+    status = status_of(scene.head())
+    assert (status["operations"], status["operation_floor"], status["seq"] - status["config_seq"]) == (1, 0, 1)
+    assert status["claims"] == {"granted": 1, "owned": 1, "unknown": 0, "full": 0, "replaced": 0}
+    text = encode_metrics(tail, scene.time.now).decode()
+    assert "lilacsill_operations 1.0" in text and 'lilacsill_claims_total{outcome="unknown"} 1.0' in text
+
+
 @pytest.mark.sweep
 @pytest.mark.parametrize("first", range(0, DAYS, AT_ONCE))
 def test_days_with_claims_keep_the_rules(first: int) -> None:
