Views are sent to the members in the order of their addresses

Need: a schedule went differently with another hash seed, so a violation did not always come back: the addresses to which an agreed view is sent were a set.

Ruled out: a fixed hash seed for the simulation (the next set would not be found).

Change: the addresses are sorted, as those of heartbeats are.

--- a/lilacsill/mesh/store/view_proposer.py
+++ b/lilacsill/mesh/store/view_proposer.py
@@ -77,7 +77,7 @@
     def _on_chosen(self, previous: View, view: View) -> None:
         addresses = {member.address for member in (*previous.members, *view.members)} - {self._replica.me.address}
         self._replica.adopt(view)
-        for address in addresses:
+        for address in sorted(addresses):  # so that a simulation depends on its seed alone
             self._environment.ask(address, ViewChange(view), VOTE_TIMEOUT_US, _ignore_answer)
 
     def _on_failed(self, later_view: View | None, ballot_to_exceed: Ballot) -> None:
