--- a/lilacsill/mesh/soak/backend.py
+++ b/lilacsill/mesh/soak/backend.py
@@ -27,6 +27,7 @@
 MAX_WAITING = 64
 MAX_BODY_BYTES = 1 << 24
 REQUEST_ID, DEADLINE, MEANT_SERVER = b"attempt-id", b"time-left-ms", b"meant-server"
+OPERATION_KEY, CUSTOMER, CREDENTIAL = b"operation-key", b"customer", b"credential"
 
 
 class Backend:
@@ -130,6 +131,7 @@
         """Work for so long, or until the time of the request is up."""
         self._is_running = True
         now = self._backend.reactor.now()
+        self.work.began_at = now
         if now + duration_us < self._expires_at:
             self._timer = self._backend.reactor.after(duration_us, self._answer)
         else:
@@ -181,7 +183,14 @@
             self.send(encode_response(200, headers, b""))
             return
         now = backend.reactor.now()
-        work = BackendWork(attempt_id, backend.ip, now)
+        work = BackendWork(
+            attempt_id,
+            backend.ip,
+            now,
+            operation_key=request.header(OPERATION_KEY) or "",
+            customer=request.header(CUSTOMER),
+            has_credential=request.header(CREDENTIAL) is not None,
+        )
         backend.record.work.setdefault(attempt_id, []).append(work)
         if request.header(MEANT_SERVER) not in (None, backend.server):
             self._refuse(work, 421)
--- a/lilacsill/mesh/soak/judge.py
+++ b/lilacsill/mesh/soak/judge.py
@@ -2,19 +2,18 @@
 
 The rules are those of `docs/rules.md`, with fewer excuses: a closed connection counts at any time, unless its machine
 was killed, and a failure that the proxy answered by itself while a backend was at work counts at any time, too.
+What shared deployments add is judged by `shared_judge`.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterator
-from enum import StrEnum
 from signal import Signals
 
-import msgspec
-
 from lilacsill.mesh.simulation.loopback_processes import Program
 
 from .observations import BackendWork, ClientRequest, Record, RequestEnd, SignalSent, WorkEnd
+from .violations import Rule, Violation
 
 US_PER_S = 1_000_000
 EXCUSED_SHARE = 5 / 6  # of the grace period: work that goes on after that may be broken off
@@ -28,34 +27,11 @@
 PROMISES = (408, 421, 429, 503)  # statuses that say that the request has not run and never will
 
 
-class Rule(StrEnum):
-    """What can be broken."""
-
-    LOST_REQUEST = "LOST: a connection ended without a complete response"
-    LOST_AT_SHUTDOWN = "LOST: a leaving proxy answered for a backend that was at work"
-    LOST_CHANGE = "LOST: an acknowledged change is gone"
-    EARLY_FAILURE = "a proxy answered for a backend that was at work, before the deadline"
-    UNANSWERED = "no response after the deadline"
-    TWICE = "TWICE: a write ran more than once"
-    REFUSED = "REFUSED: a write ran though its client was promised that it did not"
-    MIXED = "MIXED: a success that is not the backend's"
-    PROCESS_ENDED = "a process ended by itself, or with another status than 0 after SIGTERM"
-    LATE_EXIT = "a process outlived its grace period"
-
-
-class Violation(msgspec.Struct, frozen=True):
-    """One broken rule."""
-
-    rule: Rule
-    at: int
-    detail: str
-    attempt_id: str = ""  # of the request that it is about
-
-
 class Judge:
     """Judges one record."""
 
     def __init__(self, record: Record, grace_us: int) -> None:
+        """Prepare; `grace_us` is the time that a process has after SIGTERM."""
         self._record, self._grace_us = record, grace_us
         self._terminations = [s for s in record.signals if s.number is Signals.SIGTERM and _is_proxy(s)]
         self._kills = [s for s in record.signals if s.number in FAULT_SIGNALS]
@@ -84,8 +60,10 @@
 
     def _broken_by_response(self, request: ClientRequest) -> Rule | None:
         if request.status == 200:
-            return None if request.is_sealed and request.is_intact else Rule.MIXED
-        if request.is_sealed:
+            is_its_own = request.is_sealed and request.is_intact
+            # A repeat of an operation has the response of another request: OperationJudge.
+            return None if is_its_own or request.operation is not None else Rule.MIXED
+        if request.is_sealed or (request.sealed_by and request.operation is not None):
             return None
         work = self._work_under_way(request)
         if work is None or request.ended_at > request.deadline_at - DEADLINE_MARGIN_US:
--- a/lilacsill/mesh/soak/observations.py
+++ b/lilacsill/mesh/soak/observations.py
@@ -32,11 +32,23 @@
     sent_at: int  # its last byte
     deadline_at: int  # the client's patience and the route's time-out, whichever ends first
     is_sent: bool = True  # all of it, with its body
+    is_upload: bool = False  # its body is long
     end: RequestEnd = RequestEnd.PENDING
     ended_at: int = 0
     status: int = 0
     is_sealed: bool = False  # the response carries the seal of a backend for this request
-    is_intact: bool = False  # the body is the one that the backend sent
+    is_intact: bool = False  # the body is the one that the backend sent for the attempt that the seal names
+    sealed_by: str = ""  # the attempt that the seal names; empty: there is no seal
+    is_own: bool = True  # the `Attempt-Id` of the response, where it has one, is that of the request
+    tenant: str = ""  # whose key the client used; empty: it used none, or one that nobody has ever had
+    credential: str = ""
+    operation_key: str = ""
+    forged_customer: str = ""  # the header `Customer` that the client sent
+
+    @property
+    def operation(self) -> tuple[str, str] | None:
+        """Tenant and key of the operation; None where the request is no part of one."""
+        return (self.tenant, self.operation_key) if self.operation_key else None
 
 
 class WorkEnd(StrEnum):
@@ -57,6 +69,10 @@
     arrived_at: int
     end: WorkEnd = WorkEnd.WORKING
     ended_at: int = 0
+    began_at: int | None = None  # the begin of the work; until then the request waits for a slot
+    operation_key: str = ""
+    customer: str | None = None
+    has_credential: bool = False  # the key of the tenant came along
 
     @property
     def has_run(self) -> bool:
@@ -87,14 +103,29 @@
     is_early: bool = False  # it was signalled before the interpreter had run any code of the program
 
 
+class ProcessStart(msgspec.Struct, frozen=True):
+    """The start of a process."""
+
+    key: ProcessKey
+    at: int
+
+
+class ItemKind(StrEnum):
+    """What an item of the configuration is."""
+
+    ROUTE = "route"
+    TENANT = "tenant"
+
+
 class ItemChange(msgspec.Struct):
-    """One version of a route that an operator sent; `item` is None where it removes the route."""
+    """One version of an item that an operator sent; `item` is None where it removes the item."""
 
     name: str
     version: int
     item: dict[str, Any] | None
     sent_at: int
     acknowledged_at: int | None = None
+    kind: ItemKind = ItemKind.ROUTE
 
 
 class Record(msgspec.Struct):
@@ -104,5 +135,6 @@
     work: dict[str, list[BackendWork]] = {}  # by attempt
     signals: list[SignalSent] = []
     ends: list[ProcessEnd] = []
+    starts: list[ProcessStart] = []
     changes: list[ItemChange] = []
-    final_items: dict[str, dict[str, Any]] | None = None  # routes read back at the end, by name; None: no answer
+    final_items: dict[str, dict[str, Any]] | None = None  # items read back at the end, by name; None: no answer
--- a/lilacsill/mesh/soak/process_supervisor.py
+++ b/lilacsill/mesh/soak/process_supervisor.py
@@ -8,7 +8,7 @@
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.simulation.loopback_processes import LoopbackProcesses, ProcessKey
 
-from .observations import ProcessEnd, Record, SignalSent
+from .observations import ProcessEnd, ProcessStart, Record, SignalSent
 
 CHECK_US = 20_000
 RESTART_DELAY_US = 150_000
@@ -33,7 +33,9 @@
         self._is_stopped = False
 
     def start(self) -> None:
-        """Begin to check the processes."""
+        """Begin to check the processes; those that run have just been started."""
+        for key in self._processes.known_keys():
+            self._record.starts.append(ProcessStart(key, self._reactor.now()))
         self._check()
 
     def stop(self) -> None:
@@ -62,6 +64,7 @@
     def _restart_if_absent(self, key: ProcessKey) -> None:
         if not self._is_stopped and not self._processes.is_known(key):
             self._restart(key)
+            self._record.starts.append(ProcessStart(key, self._reactor.now()))
 
     def is_ending(self, key: ProcessKey) -> bool:
         """Return whether a signal that ends the process was sent to it."""
--- a/lilacsill/mesh/soak/soak_run.py
+++ b/lilacsill/mesh/soak/soak_run.py
@@ -25,11 +25,12 @@
 from .client import Client
 from .fault_injector import FaultInjector
 from .fault_plan import ClosingFault, FaultPlan, draw_plan
-from .judge import Judge, Violation
+from .judge import Judge
 from .loopback_network import LoopbackNetwork
 from .observations import Record
 from .operator_client import OperatorClient
 from .process_supervisor import ProcessSupervisor
+from .violations import Violation
 from .workload import WORKLOADS, Workload, choose_habit
 
 US_PER_S = 1_000_000
--- a/lilacsill/mesh/soak/workload.py
+++ b/lilacsill/mesh/soak/workload.py
@@ -43,6 +43,8 @@
     target_ms: int
     durations: DurationMix
     body_bytes: int  # of a response
+    is_keyed: bool = False  # a `keyed_write`: its requests carry `Operation-Key`
+    is_public: bool = False  # its requests need no key of a tenant
 
 
 class Workload(msgspec.Struct, frozen=True):
@@ -51,6 +53,7 @@
     name: str
     services: tuple[str, ...]
     routes: tuple[RouteWork, ...]
+    has_tenants: bool = False  # the deployment is shared: keys, quotas and operations hold
 
     def route(self, name: str) -> RouteWork:
         """Return a route by its name."""
@@ -83,6 +86,19 @@
         RouteWork("glossary", "terms", True, 1_500, 1_500, 400, DurationMix((50, 150), (3, 1)), 1_500),
     ),
 )
+SHARED_WORK = Workload(
+    "shared work",
+    ("stock", "stock", "catalog"),
+    (
+        RouteWork("shelf", "stock", True, 2_600, 2_600, 630, DurationMix((40, 100, 300), (3, 6, 1)), 1_500),
+        RouteWork(
+            "reserve", "stock", False, 3_100, 3_100, 830, DurationMix((60, 200, 700), (3, 6, 1)), 5_000, is_keyed=True
+        ),
+        RouteWork("fitment", "catalog", True, 4_000, 4_000, 1_000, DurationMix((50, 200, 500), (3, 6, 1)), 1_500),
+        RouteWork("feed", "catalog", True, 700, 700, 210, DurationMix((20, 50), (1, 1)), 1_500, is_public=True),
+    ),
+    has_tenants=True,
+)
 WORKLOADS = (SHORT_DEADLINES, MIXED_WORK, LONG_RESPONSES)
 
 
@@ -108,6 +124,14 @@
     return (unit * (length // len(unit) + 1))[:length]
 
 
+SEAL_PREFIX = "seal-"
+
+
 def seal(attempt_id: str) -> str:
     """Return the proof of a backend's response to a request."""
-    return f"seal-{attempt_id}"
+    return f"{SEAL_PREFIX}{attempt_id}"
+
+
+def sealed_attempt(value: str | None) -> str:
+    """Return the attempt that a seal is for; empty where there is no seal."""
+    return value.removeprefix(SEAL_PREFIX) if value is not None and value.startswith(SEAL_PREFIX) else ""
--- a/tests/mesh/soak/test_judge.py
+++ b/tests/mesh/soak/test_judge.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lilacsill.mesh.simulation.loopback_processes import ProcessKey, Program
-from lilacsill.mesh.soak.judge import Judge, Rule
+from lilacsill.mesh.soak.judge import Judge
 from lilacsill.mesh.soak.observations import (
     BackendWork,
     ClientRequest,
@@ -19,6 +19,7 @@
     SignalSent,
     WorkEnd,
 )
+from lilacsill.mesh.soak.violations import Rule
 
 S, MS = 1_000_000, 1_000
 GRACE_US = 6 * S
