Soak: shared deployments, with tenants, keyed writes, hot tenants and revocations

What no proxy can keep alone breaks only where several proxies, kills and changes come together.

Change: `--shared` plays a workload with a keyed_write and a Public route. Operations are sent again after failures and some after good responses, from other proxies, some by several at once, and once more after the closing fault. New faults: hot tenant, key revoked or added, limit lowered or raised, kill of all core machines. Other workloads draw the same plans as before.

--- a/lilacsill/mesh/soak/__main__.py
+++ b/lilacsill/mesh/soak/__main__.py
@@ -25,6 +25,9 @@
         f"{report.served} served, {report.refused} refused, {report.changes_acknowledged} changes acknowledged, "
         f"{len(report.violations)} violations"
     )
+    if report.settings.shared:
+        statuses = ", ".join(f"{count} x {status}" for status, count in report.statuses.items())
+        head += f"; responses {statuses}; {report.operations_repeated} operations repeated"
     lines = [f"  {(v.at - report.started_at) / 1e6:.2f} s {v.rule}: {v.detail}" for v in report.violations]
     return "\n".join([head, *lines, *(f"    log: {line}" for line in report.log_lines)])
 
@@ -40,12 +43,16 @@
         cores: int = 3,
         proxies: int = 6,
         clients: int = 24,
+        shared: bool = False,
         json: bool = False,
     ) -> None:
-        """Play COUNT soaks from SEED on; exit with status 1 if a rule was broken. --json prints reports as JSON."""
+        """Play COUNT soaks from SEED on; exit with status 1 if a rule was broken.
+
+        --shared plays a deployment with tenants, keys, quotas and operations; --json prints reports as JSON.
+        """
         has_violations = False
         for number in range(seed, seed + count):
-            report = play(SoakSettings(number, seconds, cores, proxies, clients))
+            report = play(SoakSettings(number, seconds, cores, proxies, clients, shared))
             print(msgspec.json.encode(report).decode() if json else describe(report), flush=True)
             has_violations = has_violations or bool(report.violations)
         sys.exit(EXIT_VIOLATIONS if has_violations else EXIT_CLEAN)
--- a/lilacsill/mesh/soak/client.py
+++ b/lilacsill/mesh/soak/client.py
@@ -17,8 +17,9 @@
 from lilacsill.mesh.simulation.loopback_processes import OUTGOING_PORT
 from lilacsill.timers import Timer
 
+from .customers import NO_KEY, Customers
 from .observations import ClientRequest, Record, RequestEnd
-from .workload import US_PER_MS, Habit, RouteWork, Workload, response_body, seal
+from .workload import US_PER_MS, Habit, RouteWork, Workload, response_body, sealed_attempt
 
 CONNECT_TIMEOUT_US = 1_000_000
 RECONNECT_US = 100_000
@@ -30,6 +31,11 @@
 MAX_BODY_BYTES = 1 << 24
 WRITE_BODY = b"w" * 300
 UPLOAD_CHUNK, UPLOAD_CHUNKS, UPLOAD_PAUSE_US = b"u" * 20_000, 8, 20_000
+UPLOAD_BODY = UPLOAD_CHUNK * UPLOAD_CHUNKS
+UNKNOWN_KEY_SHARE = 0.01  # of the requests
+FORGED_SHARE = 0.1  # of the requests say that they come from another tenant
+KEY_CHANGE_SHARE = 0.3  # of the responses 401 let a client change its key; until then it uses the old one
+UNAUTHORIZED = 401
 
 
 def _encode(request: ClientRequest, route: RouteWork, body: bytes) -> bytes:
@@ -38,6 +44,12 @@
         (b"Attempt-Id", request.attempt_id.encode()),
         (b"Time-Left-Ms", b"%d" % route.patience_ms),
     ]
+    optional = (
+        (b"Credential", request.credential),
+        (b"Operation-Key", request.operation_key),
+        (b"Customer", request.forged_customer),
+    )
+    headers += [(name, value.encode()) for name, value in optional if value]
     method = b"GET" if route.idempotent else b"POST"
     return encode_request(method, f"/{route.name}/a".encode(), headers, body)
 
@@ -48,6 +60,7 @@
     reactor: Reactor
     record: Record
     workload: Workload
+    customers: Customers | None  # None: the deployment is not shared
 
     @property
     def is_over(self) -> bool:
@@ -56,11 +69,29 @@
     def next_attempt_id(self) -> str:
         """Return an id that no other request has."""
 
+    def on_request_sent(self, request: ClientRequest) -> None:
+        """Handle that a client begins to send a request."""
+
+    def on_request_ended(self, request: ClientRequest) -> None:
+        """Handle that a request has ended for its client, in any way."""
+
+
+class ConnectionOwner(Protocol):
+    """What a connection reports to."""
+
+    world: ClientWorld
+
+    def on_response(self, request: ClientRequest) -> None:
+        """Handle a response."""
+
+    def on_connection_ended(self, connection: ClientConnection) -> None:
+        """Handle the end of a connection."""
+
 
 class ClientConnection(Connection):
     """One connection, and the requests on it that have no response yet, in the order of their sending."""
 
-    def __init__(self, client: Client, is_slow: bool) -> None:
+    def __init__(self, client: ConnectionOwner, is_slow: bool) -> None:
         super().__init__()
         self._client, self._is_slow = client, is_slow
         self._reader = Reader(HttpResponseParser, MAX_BODY_BYTES)
@@ -77,14 +108,14 @@
 
     def send_request(self, request: ClientRequest, route: RouteWork) -> None:
         """Send one request behind those that are pending."""
-        body = b"" if route.idempotent else WRITE_BODY
+        body = b"" if route.idempotent else UPLOAD_BODY if request.is_upload else WRITE_BODY
         self.pending.append(request)
         self.send(_encode(request, route, body))
 
     def start_upload(self, request: ClientRequest, route: RouteWork) -> None:
         """Send a write with a long body, one chunk after the other."""
-        data = _encode(request, route, UPLOAD_CHUNK * UPLOAD_CHUNKS)
-        request.is_sent = False
+        data = _encode(request, route, UPLOAD_BODY)
+        request.is_sent, request.is_upload = False, True
         self.pending.append(request)
         self._send_chunk(request, data)
 
@@ -117,11 +148,15 @@
         route = self._client.world.workload.route(request.route)
         request.end, request.status = RequestEnd.ANSWERED, response.status
         request.ended_at = self._client.world.reactor.now()
-        request.is_sealed = response.header(b"server-seal") == seal(request.attempt_id)
-        request.is_intact = bytes(response.body) == response_body(request.attempt_id, route.body_bytes)
+        request.sealed_by = sealed_attempt(response.header(b"server-seal"))
+        request.is_sealed = request.sealed_by == request.attempt_id
+        body_of = request.sealed_by or request.attempt_id
+        request.is_intact = bytes(response.body) == response_body(body_of, route.body_bytes)
+        request.is_own = response.header(b"attempt-id") in (None, request.attempt_id)
+        self._client.world.on_request_ended(request)
         if not response.keep_alive or not request.is_sent:
             self._finish(RequestEnd.NOT_READ, RequestEnd.NOT_READ)
-        self._client.on_response()
+        self._client.on_response(request)
 
     def on_end(self) -> None:
         """Handle that the proxy has closed the connection."""
@@ -136,9 +171,10 @@
             return
         self._is_over = True
         now = self._client.world.reactor.now()
-        for number, request in enumerate(self.pending):
+        ended, self.pending = self.pending, deque()
+        for number, request in enumerate(ended):
             request.end, request.ended_at = later_end if number else first_end, now
-        self.pending.clear()
+            self._client.world.on_request_ended(request)
         if self.stream is not None:
             self.drop()
         self._client.on_connection_ended(self)
@@ -152,6 +188,7 @@
         self._connection: ClientConnection | None = None
         self._is_connecting = False
         self._timer: Timer | None = None
+        self._key = NO_KEY if world.customers is None else world.customers.draw_key()
         self._schedule(rng.uniform(0, THINK_US))
 
     def _schedule(self, delay_us: float) -> None:
@@ -202,7 +239,9 @@
         now = self.world.reactor.now()
         deadline_at = now + min(route.patience_ms, route.timeout_ms) * US_PER_MS
         request = ClientRequest(self.world.next_attempt_id(), self._ip, route.name, route.idempotent, now, deadline_at)
+        self._identify(request, route)
         self.world.record.requests.append(request)
+        self.world.on_request_sent(request)
         if self._habit is Habit.UPLOADER:
             connection.start_upload(request, route)
         else:
@@ -210,12 +249,30 @@
         patience_us = deadline_at - now + AFTER_DEADLINE_US
         self.world.reactor.after(patience_us, self._give_up_if_pending, connection, request)
 
+    def _identify(self, request: ClientRequest, route: RouteWork) -> None:
+        """Give a request what shared deployments ask for: the key of a tenant, and that of an operation."""
+        customers = self.world.customers
+        if customers is None:
+            return
+        if self._rng.random() < FORGED_SHARE:
+            request.forged_customer = self._rng.choice(customers.tenants).name
+        if not route.is_public:
+            is_unknown = self._rng.random() < UNKNOWN_KEY_SHARE
+            key = customers.unknown_key() if is_unknown else self._key
+            request.tenant, request.credential = key.tenant, key.credential
+        if route.is_keyed:
+            request.operation_key = f"k-{request.attempt_id}"
+
     def _give_up_if_pending(self, connection: ClientConnection, request: ClientRequest) -> None:
         if request.end is RequestEnd.PENDING and connection.pending and connection.pending[0] is request:
             connection.give_up()
 
-    def on_response(self) -> None:
+    def on_response(self, request: ClientRequest) -> None:
         """Go on after a response: a pause, then the next request."""
+        customers = self.world.customers
+        is_rejected = request.status == UNAUTHORIZED
+        if customers is not None and is_rejected and self._rng.random() < KEY_CHANGE_SHARE:
+            self._key = customers.key_of(self._key.tenant) if self._key.tenant else customers.draw_key()
         if self._habit is Habit.FRESH and self._connection is not None:
             connection, self._connection = self._connection, None
             connection.give_up()
--- a/lilacsill/mesh/soak/fault_injector.py
+++ b/lilacsill/mesh/soak/fault_injector.py
@@ -13,6 +13,7 @@
 from .fault_plan import Fault, FaultEvent
 from .operator_client import OperatorClient
 from .process_supervisor import ProcessSupervisor
+from .tenant_faults import TENANT_FAULTS, TenantFaults
 
 SLOW_FACTOR, SLOW_US = 6.0, 4_000_000
 DRAIN_US = 2_600_000
@@ -32,14 +33,20 @@
         operator: OperatorClient,
         core_ips: list[str],
         backends: dict[str, Backend],
+        tenant_faults: TenantFaults | None = None,
     ) -> None:
         """Prepare; `backends` are those of the machines with a proxy, by address."""
+        self._tenant_faults = tenant_faults
         self._reactor, self._supervisor, self._operator = reactor, supervisor, operator
         self._core_ips, self._backends = core_ips, backends
         self._proxies = [ProcessKey(Program.PROXY, ip) for ip in backends]
 
     def bring_about(self, event: FaultEvent) -> None:
         """Bring one fault about; what of it comes later is scheduled."""
+        if event.fault in TENANT_FAULTS:
+            if self._tenant_faults is not None:
+                self._tenant_faults.bring_about(event)
+            return
         proxy = self._proxies[event.number % len(self._proxies)]
         core_ip = self._core_ips[event.number % len(self._core_ips)]
         core = [ProcessKey(program, core_ip) for program in CORE_PROGRAMS]
@@ -56,6 +63,7 @@
             Fault.THROTTLE_PROXY: partial(self._throttle, proxy, THROTTLE_PERIODS),
             Fault.KILL_CORE: partial(self._signal_all, core, signal.SIGKILL),
             Fault.RESTART_CORE: partial(self._signal_all, core, signal.SIGTERM),
+            Fault.KILL_ALL_CORES: partial(self._signal_all, self._all_cores(), signal.SIGKILL),
             Fault.SLOW_BACKEND: partial(self._slow_down, backend),
             Fault.REPLACE_BACKEND: partial(self._replace, backend),
             Fault.CHANGE: self._operator.send_change,
@@ -63,6 +71,9 @@
         }
         actions[event.fault]()
 
+    def _all_cores(self) -> list[ProcessKey]:
+        return [ProcessKey(program, ip) for ip in self._core_ips for program in CORE_PROGRAMS]
+
     def _send_racing_changes(self) -> None:
         for _ in range(RACING_CHANGES):
             self._operator.send_change()
--- a/lilacsill/mesh/soak/fault_plan.py
+++ b/lilacsill/mesh/soak/fault_plan.py
@@ -27,6 +27,12 @@
     REPLACE_BACKEND = "replace backend"
     CHANGE = "change"  # of the configuration
     RACING_CHANGES = "racing changes"
+    KILL_ALL_CORES = "kill all core machines"  # their disks stay
+    HOT_TENANT = "hot tenant"  # a tenant sends many times its rate
+    REVOKE_KEY = "revoke key"
+    ADD_KEY = "add key"
+    LOWER_LIMIT = "lower limit"
+    RAISE_LIMIT = "raise limit"
 
 
 class ClosingFault(StrEnum):
@@ -53,7 +59,8 @@
 
 FIRST_AT_US = 2 * US_PER_S
 MEAN_GAP_US = 1_200_000  # between two series
-SERIES = (  # faults that come one shortly after the other; the weights say how often
+Series = tuple[tuple[tuple[Fault, ...], int], ...]
+SERIES: Series = (  # faults that come one shortly after the other; the weights say how often
     ((Fault.RESTART_PROXY,), 4),
     ((Fault.RESTART_PROXY, Fault.RESTART_PROXY, Fault.RESTART_PROXY), 3),
     ((Fault.RESTART_PROXY, Fault.SLOW_BACKEND), 3),
@@ -70,18 +77,32 @@
     ((Fault.FREEZE_CORE, Fault.RACING_CHANGES), 1),
     ((Fault.THROTTLE_PROXY, Fault.RESTART_PROXY), 2),
 )
+SHARED_SERIES: Series = (  # of shared deployments: the same faults, and those of tenants, keys, quotas and operations
+    *SERIES,
+    ((Fault.KILL_CORE, Fault.KILL_PROXY), 3),
+    ((Fault.KILL_PROXY, Fault.KILL_PROXY), 3),
+    ((Fault.KILL_ALL_CORES,), 2),
+    ((Fault.HOT_TENANT, Fault.KILL_CORE), 3),
+    ((Fault.HOT_TENANT, Fault.RESTART_CORE), 2),
+    ((Fault.HOT_TENANT, Fault.FREEZE_CORE), 2),
+    ((Fault.HOT_TENANT, Fault.LOWER_LIMIT), 2),
+    ((Fault.RAISE_LIMIT, Fault.KILL_CORE), 1),
+    ((Fault.REVOKE_KEY, Fault.ADD_KEY), 4),
+    ((Fault.REVOKE_KEY, Fault.FREEZE_PROXY), 1),
+    ((Fault.LOWER_LIMIT,), 1),
+)
 NUMBER_BITS = 32  # of an event
 MAX_STEP_US = 1_300_000  # between two faults of a series
 
 
-def draw_plan(rng: Random, duration_us: int) -> FaultPlan:
+def draw_plan(rng: Random, duration_us: int, series: Series = SERIES) -> FaultPlan:
     """Return a plan whose faults lie between `FIRST_AT_US` and `duration_us`."""
     events: list[FaultEvent] = []
     at = FIRST_AT_US
     while at < duration_us:
-        series = rng.choices([faults for faults, _ in SERIES], [weight for _, weight in SERIES])[0]
+        drawn = rng.choices([faults for faults, _ in series], [weight for _, weight in series])[0]
         fault_at = at
-        for fault in series:
+        for fault in drawn:
             events.append(FaultEvent(fault_at, fault, rng.getrandbits(NUMBER_BITS)))
             fault_at += int(rng.uniform(0, MAX_STEP_US))
         at += int(rng.expovariate(1 / MEAN_GAP_US))
--- a/lilacsill/mesh/soak/soak_run.py
+++ b/lilacsill/mesh/soak/soak_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import shutil
+from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
 from random import Random
@@ -14,6 +15,7 @@
 from lilacsill.mesh.runtime.client import RequestFailed, fetch_status
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.simulation.loopback_processes import (
+    DEFAULT_BOUNDS,
     INTERNAL_PORTS,
     LoopbackProcesses,
     ProcessKey,
@@ -23,21 +25,27 @@
 
 from .backend import Backend
 from .client import Client
+from .customers import Customers
 from .fault_injector import FaultInjector
-from .fault_plan import ClosingFault, FaultPlan, draw_plan
+from .fault_plan import SERIES, SHARED_SERIES, ClosingFault, FaultPlan, draw_plan
 from .judge import Judge
 from .loopback_network import LoopbackNetwork
-from .observations import Record
+from .observations import ClientRequest, Record
 from .operator_client import OperatorClient
 from .process_supervisor import ProcessSupervisor
+from .repeats import OperationRepeater
+from .shared_judge import SharedJudge
+from .tenant_faults import TenantFaults
+from .timing_bounds import TimingBounds, draw_bounds
 from .violations import Violation
-from .workload import WORKLOADS, Workload, choose_habit
+from .workload import SHARED_WORK, WORKLOADS, Workload, choose_habit
 
 US_PER_S = 1_000_000
 CORE_GROUP, PROXY_GROUP = 1, 2  # the third part of addresses
 GRACE_US = 6 * US_PER_S
 START_TIMEOUT_S, END_TIMEOUT_S = 20.0, 20.0
 WARM_UP_S = 1.5
+RECOVERY_S = 4.0  # from the configuration that was read back to the operations that are repeated
 
 
 class SoakSettings(msgspec.Struct, frozen=True):
@@ -48,6 +56,7 @@
     core_machines: int = 3
     proxies: int = 6
     clients: int = 24
+    shared: bool = False  # a deployment with tenants, keys, quotas and operations
 
 
 class SoakReport(msgspec.Struct):
@@ -63,6 +72,8 @@
     violations: list[Violation]
     started_at: int  # the clock of the violations at the begin of traffic
     log_lines: list[str]  # of the proxies, on the requests of the violations
+    statuses: dict[int, int] = {}  # how many responses had each; 0: there was none
+    operations_repeated: int = 0  # operations of which more than one attempt was sent
 
 
 class SoakRun:
@@ -75,16 +86,24 @@
         self._network = LoopbackNetwork(Random())
         self.core_ips = [self._network.address(CORE_GROUP, number + 1) for number in range(settings.core_machines)]
         self.proxy_ips = [self._network.address(PROXY_GROUP, number + 1) for number in range(settings.proxies)]
-        self.workload: Workload = rng.choice(WORKLOADS)
-        self.plan: FaultPlan = draw_plan(rng, int(settings.seconds * US_PER_S))
+        drawn: Workload = rng.choice(WORKLOADS)
+        self.workload = SHARED_WORK if settings.shared else drawn
+        series = SHARED_SERIES if settings.shared else SERIES
+        self.plan: FaultPlan = draw_plan(rng, int(settings.seconds * US_PER_S), series)
+        self.bounds = draw_bounds(Random(rng.random())) if settings.shared else TimingBounds()
+        self.customers = Customers(Random(rng.random())) if settings.shared else None
         self.record = Record()
         self.reactor = Reactor()
         self.is_over = False
-        self.processes = LoopbackProcesses(self.core_ips, is_logged=True)
+        bounds = (*DEFAULT_BOUNDS, *self.bounds.settings()) if settings.shared else DEFAULT_BOUNDS
+        self.processes = LoopbackProcesses(self.core_ips, bounds=bounds, is_logged=True)
         self._attempts = 0
         self._supervisor = ProcessSupervisor(self.reactor, self.record, self.processes, self._restart)
         self.backends: dict[str, Backend] = {}
-        self._operator = OperatorClient(self.reactor, self.record, self.workload, self.core_ips, Random(rng.random()))
+        self._operator = OperatorClient(
+            self.reactor, self.record, self.workload, self.core_ips, Random(rng.random()), self.customers
+        )
+        self._repeater = OperationRepeater(self, self.proxy_ips, Random(rng.random()))
 
     def __enter__(self) -> SoakRun:
         return self
@@ -104,6 +123,14 @@
         self._attempts += 1
         return f"{self.settings.seed}-{self._attempts}"
 
+    def on_request_sent(self, request: ClientRequest) -> None:
+        """Let some operations go to several proxies at once."""
+        self._repeater.on_sent(request)
+
+    def on_request_ended(self, request: ClientRequest) -> None:
+        """Let operations be sent again."""
+        self._repeater.on_ended(request)
+
     def service_of(self, ip: str) -> str:
         """Return the service of the backend on a machine."""
         return self.workload.services[self.proxy_ips.index(ip) % len(self.workload.services)]
@@ -126,17 +153,24 @@
             round_number, position = divmod(number, len(self.proxy_ips))
             habit = choose_habit(round_number + position)  # each machine has other habits, and all come up
             Client(self, self.proxy_ips[position], habit, Random(self._rng.random()))
-        injector = FaultInjector(self.reactor, self._supervisor, self._operator, self.core_ips, self.backends)
+        injector = FaultInjector(
+            self.reactor, self._supervisor, self._operator, self.core_ips, self.backends, self._tenant_faults()
+        )
         for event in self.plan.events:
             self.reactor.after(event.at, injector.bring_about, event)
         self._run_for(self.settings.seconds)
-        self.is_over = True
+        self.is_over = self._repeater.is_over = True
         self._run_for(max(route.patience_ms for route in self.workload.routes) / 1000 + 1)
         running_logs = self._fetch_logs()
         self._close_day()
         logs = [*running_logs, *(self.processes.log_text(ProcessKey(Program.PROXY, ip)) for ip in self.proxy_ips)]
         return self._report(started_at, "\n".join(logs).splitlines())
 
+    def _tenant_faults(self) -> TenantFaults | None:
+        if self.customers is None:
+            return None
+        return TenantFaults(self, self.customers, self._operator, self.proxy_ips, Random(self._rng.random()))
+
     def _start_all(self, fresh: bool) -> None:
         for ip in self.core_ips:
             self.processes.start_core(ip, fresh)
@@ -175,6 +209,14 @@
         self._operator.read_back(read.append)
         if self._run_until(lambda: bool(read), END_TIMEOUT_S):
             self.record.final_items = read[0]
+        if self.customers is not None:
+            self._repeat_operations()
+
+    def _repeat_operations(self) -> None:
+        """Send the newest operations again: none of them may run twice, also after the loss of all processes."""
+        self._run_for(RECOVERY_S)
+        self._repeater.repeat_after_fault()
+        self._run_for(max(route.patience_ms for route in self.workload.routes if route.is_keyed) / 1000 + 1)
 
     def _acknowledged(self) -> int:
         return sum(change.acknowledged_at is not None for change in self.record.changes)
@@ -190,6 +232,8 @@
     def _report(self, started_at: int, log_lines: list[str]) -> SoakReport:
         requests = self.record.requests
         violations = Judge(self.record, GRACE_US).violations()
+        if self.settings.shared:
+            violations += SharedJudge(self.record, self.workload, self.bounds).violations()
         return SoakReport(
             self.settings,
             self.workload.name,
@@ -201,4 +245,10 @@
             violations,
             started_at,
             [line for line in log_lines if any(violation.attempt_id in line.split() for violation in violations)],
+            dict(sorted(Counter(request.status for request in requests).items())),
+            self._operations_repeated(),
         )
+
+    def _operations_repeated(self) -> int:
+        attempts = Counter(request.operation for request in self.record.requests if request.operation_key)
+        return sum(count > 1 for count in attempts.values())
--- a/tests/mesh/soak/test_fault_plan.py
+++ b/tests/mesh/soak/test_fault_plan.py
@@ -8,12 +8,22 @@
 import pytest
 
 from lilacsill.mesh.soak.__main__ import describe
-from lilacsill.mesh.soak.fault_plan import FIRST_AT_US, MAX_STEP_US, ClosingFault, Fault, FaultPlan, draw_plan
-from lilacsill.mesh.soak.judge import Rule, Violation
+from lilacsill.mesh.soak.fault_plan import (
+    FIRST_AT_US,
+    MAX_STEP_US,
+    SHARED_SERIES,
+    ClosingFault,
+    Fault,
+    FaultPlan,
+    draw_plan,
+)
 from lilacsill.mesh.soak.soak_run import SoakReport, SoakSettings
-from lilacsill.mesh.soak.workload import HABITS, WORKLOADS, Habit, Workload, choose_habit, response_body
+from lilacsill.mesh.soak.tenant_faults import TENANT_FAULTS
+from lilacsill.mesh.soak.violations import Rule, Violation
+from lilacsill.mesh.soak.workload import HABITS, SHARED_WORK, WORKLOADS, Habit, Workload, choose_habit, response_body
 
 DURATION_US = 30_000_000
+SHARED_ONLY = {Fault.KILL_ALL_CORES, *TENANT_FAULTS}
 
 
 def plan(seed: int) -> FaultPlan:
@@ -32,18 +42,23 @@
 
 def test_all_faults_come_up_and_overlap() -> None:
     plans = [plan(seed) for seed in range(50)]
-    assert {event.fault for played in plans for event in played.events} == set(Fault)
+    assert {event.fault for played in plans for event in played.events} == set(Fault) - SHARED_ONLY
     assert {played.closing for played in plans} == set(ClosingFault)
     leaving = [[event.at for event in played.events if event.fault is Fault.RESTART_PROXY] for played in plans]
     gaps_us = [later - earlier for times in leaving for earlier, later in itertools.pairwise(times)]
     assert min(gaps_us) < MAX_STEP_US < max(gaps_us)
 
 
+def test_all_faults_come_up_in_shared_deployments() -> None:
+    plans = [draw_plan(Random(seed), DURATION_US, SHARED_SERIES) for seed in range(50)]
+    assert {event.fault for played in plans for event in played.events} == set(Fault)
+
+
 def test_all_habits_come_up() -> None:
     assert {choose_habit(number) for number in range(len(HABITS))} == set(Habit)
 
 
-@pytest.mark.parametrize("workload", WORKLOADS, ids=[workload.name for workload in WORKLOADS])
+@pytest.mark.parametrize("workload", [*WORKLOADS, SHARED_WORK], ids=lambda workload: workload.name)
 def test_work_fits_the_patience_of_clients(workload: Workload) -> None:
     rng = Random(1)
     for route in workload.routes:
