--- a/lilacsill/mesh/soak/client.py
+++ b/lilacsill/mesh/soak/client.py
@@ -115,7 +115,7 @@
     def start_upload(self, request: ClientRequest, route: RouteWork) -> None:
         """Send a write with a long body, one chunk after the other."""
         data = _encode(request, route, UPLOAD_BODY)
-        request.is_sent, request.is_upload = False, True
+        request.is_sent = False
         self.pending.append(request)
         self._send_chunk(request, data)
 
@@ -239,10 +239,11 @@
         now = self.world.reactor.now()
         deadline_at = now + min(route.patience_ms, route.timeout_ms) * US_PER_MS
         request = ClientRequest(self.world.next_attempt_id(), self._ip, route.name, route.idempotent, now, deadline_at)
+        request.is_upload = self._habit is Habit.UPLOADER
         self._identify(request, route)
         self.world.record.requests.append(request)
         self.world.on_request_sent(request)
-        if self._habit is Habit.UPLOADER:
+        if request.is_upload:
             connection.start_upload(request, route)
         else:
             connection.send_request(request, route)
--- a/lilacsill/mesh/soak/repeats.py
+++ b/lilacsill/mesh/soak/repeats.py
@@ -31,12 +31,13 @@
     def __init__(self, world: ClientWorld, request: ClientRequest) -> None:
         """Connect to the proxy of the request; it is recorded once it is sent."""
         self.world, self._request = world, request
+        self._connection: ClientConnection | None = None
         address = Address(request.ip, OUTGOING_PORT)
         connect(world.reactor, address, CONNECT_TIMEOUT_US, self._on_connected, self._on_refused)
 
     def _on_connected(self, sock: socket.socket) -> None:
         request, route = self._request, self.world.workload.route(self._request.route)
-        connection = ClientConnection(self, is_slow=False)
+        connection = self._connection = ClientConnection(self, is_slow=False)
         connection.start(sock)
         request.sent_at = self.world.reactor.now()
         request.deadline_at = request.sent_at + min(route.patience_ms, route.timeout_ms) * US_PER_MS
@@ -53,7 +54,9 @@
             connection.give_up()
 
     def on_response(self, _request: ClientRequest) -> None:
-        """Leave the connection to the proxy, which closes it when it is idle."""
+        """Close the connection: many clients at once would need many descriptors otherwise."""
+        if self._connection is not None:
+            self._connection.give_up()
 
     def on_connection_ended(self, connection: ClientConnection) -> None:
         """Do nothing: there is no further request."""
--- a/lilacsill/mesh/soak/soak_run.py
+++ b/lilacsill/mesh/soak/soak_run.py
@@ -145,7 +145,7 @@
             self.backends[ip] = Backend(self.reactor, self.record, self.workload, ip, self.service_of(ip), rng)
         self._supervisor.start()
         self._operator.send_first_configuration()
-        if not self._run_until(lambda: not self._operator.pending, START_TIMEOUT_S):
+        if not self._run_until(lambda: not self._operator.pending, START_TIMEOUT_S) or not self._acknowledged():
             raise RuntimeError("the first configuration is not acknowledged")
         self._run_for(WARM_UP_S)
         started_at = self.reactor.now()
