Soak: kills and freezes of the proxy that owns an operation in flight

Change: two faults go by what clients have sent: the proxy of the newest operation without a response is killed or frozen.

--- a/lilacsill/mesh/soak/fault_injector.py
+++ b/lilacsill/mesh/soak/fault_injector.py
@@ -11,6 +11,7 @@
 
 from .backend import Backend
 from .fault_plan import Fault, FaultEvent
+from .observations import Record, RequestEnd
 from .operator_client import OperatorClient
 from .process_supervisor import ProcessSupervisor
 from .tenant_faults import TENANT_FAULTS, TenantFaults
@@ -30,13 +31,24 @@
         self,
         reactor: Reactor,
         supervisor: ProcessSupervisor,
+        record: Record,
         operator: OperatorClient,
         core_ips: list[str],
         backends: dict[str, Backend],
         tenant_faults: TenantFaults | None = None,
     ) -> None:
-        """Prepare; `backends` are those of the machines with a proxy, by address."""
-        self._tenant_faults = tenant_faults
+        """Prepare.
+
+        Args:
+            reactor: Its clock is that of all faults.
+            supervisor: Sends the signals.
+            record: What clients have sent so far, for the faults that go by it.
+            operator: Sends the changes.
+            core_ips: The core machines.
+            backends: Those of the machines with a proxy, by address.
+            tenant_faults: Brings about what happens to tenants; None where there are none.
+        """
+        self._record, self._tenant_faults = record, tenant_faults
         self._reactor, self._supervisor, self._operator = reactor, supervisor, operator
         self._core_ips, self._backends = core_ips, backends
         self._proxies = [ProcessKey(Program.PROXY, ip) for ip in backends]
@@ -64,6 +76,8 @@
             Fault.KILL_CORE: partial(self._signal_all, core, signal.SIGKILL),
             Fault.RESTART_CORE: partial(self._signal_all, core, signal.SIGTERM),
             Fault.KILL_ALL_CORES: partial(self._signal_all, self._all_cores(), signal.SIGKILL),
+            Fault.KILL_OWNER: partial(self._signal_all, [self._owner(proxy)], signal.SIGKILL),
+            Fault.FREEZE_OWNER: partial(self._freeze, [self._owner(proxy)]),
             Fault.SLOW_BACKEND: partial(self._slow_down, backend),
             Fault.REPLACE_BACKEND: partial(self._replace, backend),
             Fault.CHANGE: self._operator.send_change,
@@ -71,6 +85,13 @@
         }
         actions[event.fault]()
 
+    def _owner(self, default: ProcessKey) -> ProcessKey:
+        """Return the proxy of the newest operation in flight."""
+        for request in reversed(self._record.requests):
+            if request.operation_key and request.end is RequestEnd.PENDING:
+                return ProcessKey(Program.PROXY, request.ip)
+        return default
+
     def _all_cores(self) -> list[ProcessKey]:
         return [ProcessKey(program, ip) for ip in self._core_ips for program in CORE_PROGRAMS]
 
--- a/lilacsill/mesh/soak/fault_plan.py
+++ b/lilacsill/mesh/soak/fault_plan.py
@@ -28,6 +28,8 @@
     CHANGE = "change"  # of the configuration
     RACING_CHANGES = "racing changes"
     KILL_ALL_CORES = "kill all core machines"  # their disks stay
+    KILL_OWNER = "kill the proxy of an operation in flight"
+    FREEZE_OWNER = "freeze the proxy of an operation in flight"
     HOT_TENANT = "hot tenant"  # a tenant sends many times its rate
     REVOKE_KEY = "revoke key"
     ADD_KEY = "add key"
@@ -80,7 +82,10 @@
 SHARED_SERIES: Series = (  # of shared deployments: the same faults, and those of tenants, keys, quotas and operations
     *SERIES,
     ((Fault.KILL_CORE, Fault.KILL_PROXY), 3),
-    ((Fault.KILL_PROXY, Fault.KILL_PROXY), 3),
+    ((Fault.KILL_OWNER, Fault.KILL_OWNER), 4),
+    ((Fault.KILL_OWNER, Fault.KILL_CORE), 2),
+    ((Fault.FREEZE_OWNER,), 2),
+    ((Fault.FREEZE_OWNER, Fault.KILL_OWNER), 1),
     ((Fault.KILL_ALL_CORES,), 2),
     ((Fault.HOT_TENANT, Fault.KILL_CORE), 3),
     ((Fault.HOT_TENANT, Fault.RESTART_CORE), 2),
--- a/lilacsill/mesh/soak/soak_run.py
+++ b/lilacsill/mesh/soak/soak_run.py
@@ -154,7 +154,13 @@
             habit = choose_habit(round_number + position)  # each machine has other habits, and all come up
             Client(self, self.proxy_ips[position], habit, Random(self._rng.random()))
         injector = FaultInjector(
-            self.reactor, self._supervisor, self._operator, self.core_ips, self.backends, self._tenant_faults()
+            self.reactor,
+            self._supervisor,
+            self.record,
+            self._operator,
+            self.core_ips,
+            self.backends,
+            self._tenant_faults(),
         )
         for event in self.plan.events:
             self.reactor.after(event.at, injector.bring_about, event)
--- a/tests/mesh/soak/test_fault_plan.py
+++ b/tests/mesh/soak/test_fault_plan.py
@@ -23,7 +23,7 @@
 from lilacsill.mesh.soak.workload import HABITS, SHARED_WORK, WORKLOADS, Habit, Workload, choose_habit, response_body
 
 DURATION_US = 30_000_000
-SHARED_ONLY = {Fault.KILL_ALL_CORES, *TENANT_FAULTS}
+SHARED_ONLY = {Fault.KILL_ALL_CORES, Fault.KILL_OWNER, Fault.FREEZE_OWNER, *TENANT_FAULTS}
 
 
 def plan(seed: int) -> FaultPlan:
