Store, registry: the reason of a refused call is in the log and the metrics

The head counted refusals without a reason, and the registry that answered logged nothing.

Ruled out: a written warning. A call that an operator got wrong is no fault of the process, and a repeated one would write each second.

A registry logs answers other than 200, once while they stay the same.

--- a/lilacsill/mesh/registry/operator_api.py
+++ b/lilacsill/mesh/registry/operator_api.py
@@ -9,6 +9,7 @@
 from lilacsill.address import Address
 from lilacsill.http1.message import Message as Request
 from lilacsill.mesh.runtime.control import Respond
+from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import Message, Patch, Read, Reply
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.runtime.rpc import RpcClientPool
@@ -17,7 +18,9 @@
 
 CALL_TIMEOUT_US = 950_000  # operators get an answer within a second
 MIN_ATTEMPT_US = 300_000  # time left in which another member of the store is worth trying
+MAX_LOGGED_BYTES = 400  # of the response to a call that failed
 
+HTTP_OK = 200
 CONFIG_PATH = b"/api/config"
 SERVERS_PREFIX = b"/api/servers/"
 
@@ -58,6 +61,7 @@
         self._store = store
         self._core_hosts = core_hosts
         self.responses: Counter[int] = Counter()  # to calls for the configuration, by HTTP status
+        self._last_failure = (0, b"")  # status and body of the last response but 200
 
     def handle(self, request: Request, respond: Respond) -> None:
         """Forward a change or a read of the configuration; reject all other calls."""
@@ -76,12 +80,19 @@
 
     def _forward(self, message: Message, respond: Respond) -> None:
         def count_and_respond(status: int, body: bytes) -> None:
-            self.responses[status] += 1
+            self._record(status, body)
             respond(status, body)
 
         hosts = [self._store.host, *sorted(self._core_hosts.all - {self._store.host})]
         self._try_next_host(ForwardedCall(message, count_and_respond, hosts, self._reactor.now() + CALL_TIMEOUT_US))
 
+    def _record(self, status: int, body: bytes) -> None:
+        self.responses[status] += 1
+        if status == HTTP_OK or (status, body) == self._last_failure:  # an operator repeats a call that failed
+            return
+        self._last_failure = (status, body)
+        log.info("answers a call with %d: %s", status, body[:MAX_LOGGED_BYTES].decode(errors="replace"))
+
     def _try_next_host(self, call: ForwardedCall) -> None:
         time_left_us = call.deadline - self._reactor.now()
         if not call.hosts or time_left_us < MIN_ATTEMPT_US:
--- a/lilacsill/mesh/store/frontend.py
+++ b/lilacsill/mesh/store/frontend.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import Confirm, Confirmed, Item, Member, Message, Patch, Read, Reply
 
 from .chain import Chain
@@ -48,6 +50,7 @@
     Attributes:
         max_state_bytes: Calls that would make the state larger are rejected.
         rejections: Status and reason of the latest rejected calls, the newest last, for operators.
+        rejected: Rejected calls in this run of the process, by the type of their rejection.
     """
 
     def __init__(self, replica: Replica, chain: Chain, has_too_few_copies: Callable[[], bool]) -> None:
@@ -58,7 +61,7 @@
         self._recent_refusals = RecentRefusals()
         self.max_state_bytes = DEFAULT_MAX_STATE_BYTES
         self.rejections: list[str] = []
-        self.rejected = 0  # calls in this run of the process
+        self.rejected: Counter[str] = Counter()
         self._forwarding = Forwarding(replica)
         replica.view_listeners.append(self._on_view)
 
@@ -147,8 +150,10 @@
         return self._rejection(rejection)
 
     def _rejection(self, rejection: Rejection) -> Reply:
-        self.rejected += 1
+        self.rejected[type(rejection).__name__] += 1
         text = f"{rejection.status}: {rejection.message}"
+        if text not in self.rejections:  # an operator repeats its call; the log has no place for each copy
+            log.info("rejects a call: %s", text)
         self.rejections = [*self.rejections[1 - MAX_REPORTED_REJECTIONS :], text]
         return Reply(rejection.status, msgspec.json.encode({"Message": rejection.message}))
 
--- a/lilacsill/mesh/store/metrics.py
+++ b/lilacsill/mesh/store/metrics.py
@@ -45,5 +45,6 @@
     text.gauge("state_bytes", "Bytes of these items", replica.state.size)
     save_age_us = replica.environment.oldest_save_age_us()
     text.gauge("oldest_save_age_seconds", "Age of the oldest write that the disk has not done", save_age_us / US_PER_S)
-    text.counter("calls_rejected", "Calls of operators that this head refused", store.frontend.rejected)
+    rejected = store.frontend.rejected
+    text.counter_by("reason", "calls_rejected", "Calls of operators that this head refused, by reason", rejected)
     text.counter("repairs", "Repairs of the successor", chain.successor.repair_count)
