--- a/lilacsill/mesh/proxy/active_config.py
+++ b/lilacsill/mesh/proxy/active_config.py
@@ -1,4 +1,4 @@
-"""The configuration that is in force in this process: routes, services, limits. No I/O."""
+"""The configuration that is in force in this process: routes, services, limits, tenants. No I/O."""
 
 from __future__ import annotations
 
@@ -8,6 +8,8 @@
 
 from lilacsill.http1.message import MAX_HEAD_BYTES
 from lilacsill.mesh.runtime.messages import Item
+from lilacsill.mesh.tenants.directory import TenantDirectory
+from lilacsill.mesh.tenants.tenant import TENANT
 
 from .routes import HostRoutes, Route, parse_route
 
@@ -60,6 +62,11 @@
     """The items that are in force.
 
     An item never goes back to a lower version within one run of the process.
+
+    Attributes:
+        limits: Limits on clients' connections and requests.
+        tenants: The tenants by key.
+        seq: The number of the newest change that is in force.
     """
 
     def __init__(self) -> None:
@@ -68,7 +75,8 @@
         self._hosts: dict[bytes, HostRoutes] = {}
         self._services: dict[str, Service] = {}
         self.limits = DEFAULT_LIMITS
-        self.seq = 0  # number of the newest change that is in force
+        self.tenants = TenantDirectory()
+        self.seq = 0
 
     def apply(self, items: list[Item], seq: int) -> None:
         """Put items in force, except those that are not newer than what is here.
@@ -93,6 +101,8 @@
                 self._services.pop(item.name, None)
             else:
                 self._services[item.name] = parse_service(item.body)
+        elif item.kind == TENANT:
+            self.tenants.apply(item)
         elif item.kind == "limits" and item.body is not None:
             self.limits = parse_limits(item.body)
 
@@ -117,6 +127,11 @@
         host_routes = self._hosts.get(host)
         return None if host_routes is None else host_routes.match(path)
 
+    @property
+    def has_tenants(self) -> bool:
+        """Whether there are tenants: requests then need a key, unless their route is public."""
+        return bool(self.tenants)
+
     def health_path(self, service: str) -> bytes | None:
         """Return the path of the service's health check; None where the service is not known."""
         known = self._services.get(service)
--- a/lilacsill/mesh/runtime/records.py
+++ b/lilacsill/mesh/runtime/records.py
@@ -64,7 +64,7 @@
 class Item(msgspec.Struct, array_like=True, gc=False):
     """One named item of the configuration, or its tombstone."""
 
-    kind: str  # route, service, limits
+    kind: str  # route, service, limits, tenant
     name: str
     version: int  # given by the operator
     seq: int  # sequence number that the chain gave to the change
