Store: tenants and their keys, public routes, keyed writes are taken

Ruled out: ignoring unknown sections. The call would be acknowledged without effect, and a read back would lack what was acknowledged.

The OpenAPI file has Customers, Public, keyed_write and DedupesItself; the schema follows it. Tenants are items of the kind tenant, versioned, replicated and read back like routes. No two have the same key, in a call and against what is in force; keys may move within a call, as matches of routes may. The owners of matches and keys in a draft are one class now; an index of keys makes the cost of a check depend on the call. Messages name tenants, never keys. test_openapi.py learns the type boolean; it checks nothing less.

--- a/lilacsill/mesh/store/call_schema.py
+++ b/lilacsill/mesh/store/call_schema.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-ROUTE_KINDS = ["read_only", "writes"]
+ROUTE_KINDS = ["read_only", "writes", "keyed_write"]
+MAX_KEY_CHARACTERS = 1024  # of a tenant's key, which is a field of a request's head
 MAX_NUMBER = 2**53  # above it a JSON number that is read as a float is no longer exact
 
 _VERSION = {"type": "string", "required": True, "regex": r"r[0-9]{1,15}"}
 _TEXT = {"type": "string", "required": True, "minlength": 1, "maxlength": 256}
 _COUNT = {"type": "integer", "min": 0, "max": MAX_NUMBER}
 _NUMBER = {"type": "number", "min": 0, "max": MAX_NUMBER}
+_FLAG = {"type": "boolean"}
 _TRAFFIC_SPLIT = {
     "type": "list",
     "minlength": 1,
@@ -24,6 +26,7 @@
     "RouteKind": {"type": "string", "required": True, "allowed": ROUTE_KINDS},
     "TargetMs": _NUMBER,
     "Rank": _COUNT,
+    "Public": _FLAG,
     "When": {
         "type": "dict",
         "required": True,
@@ -42,6 +45,18 @@
         },
     },
 }
+TENANT_SCHEMA = {
+    "Name": _TEXT,
+    "ConfigVersion": _VERSION,
+    "ApiKeys": {
+        "type": "list",
+        "required": True,
+        "schema": {"type": "string", "minlength": 1, "maxlength": MAX_KEY_CHARACTERS},
+    },
+    "Rank": _COUNT,
+    "RatePerS": _NUMBER,
+    "BurstSize": _NUMBER,
+}
 _NAMED_VERSIONS = {
     "type": "list",
     "schema": {"type": "dict", "allow_unknown": True, "schema": {"Name": _TEXT, "ConfigVersion": _VERSION}},
@@ -50,6 +65,10 @@
     "ReplaceItems": {
         "type": "dict",
         "schema": {
+            "Customers": {
+                "type": "list",
+                "schema": {"type": "dict", "allow_unknown": True, "schema": TENANT_SCHEMA},
+            },
             "Limits": {
                 "type": "dict",
                 "allow_unknown": True,
@@ -85,6 +104,7 @@
                         "ConfigVersion": _VERSION,
                         "HealthPath": {"type": "string", "regex": "/.*"},
                         "MaxConnections": {**_COUNT, "min": 1},
+                        "DedupesItself": _FLAG,
                     },
                 },
             },
@@ -93,6 +113,7 @@
     "RemoveItems": {
         "type": "dict",
         "schema": {
+            "Customers": _NAMED_VERSIONS,
             "Routing": _NAMED_VERSIONS,
             "Listeners": _NAMED_VERSIONS,
             "ServiceList": _NAMED_VERSIONS,
--- a/lilacsill/mesh/store/calls.py
+++ b/lilacsill/mesh/store/calls.py
@@ -11,10 +11,13 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from lilacsill.mesh.tenants.tenant import TENANT, encode_key
+
 from .call_schema import CALL_SCHEMA
 from .rejections import (
     ContradictoryChanges,
     InvalidTarget,
+    KeyTaken,
     MatchTaken,
     NotAnObject,
     NotJson,
@@ -26,7 +29,13 @@
 if TYPE_CHECKING:
     from cerberus import Validator
 
-_KIND_OF_REMOVAL = {"Routing": ROUTE, "Listeners": ROUTE, "ServiceList": SERVICE, "Groups": SERVICE}
+_KIND_OF_REMOVAL = {
+    "Customers": TENANT,
+    "Routing": ROUTE,
+    "Listeners": ROUTE,
+    "ServiceList": SERVICE,
+    "Groups": SERVICE,
+}
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -100,8 +109,10 @@
         if problem:
             return Failure(InvalidTarget(route["Rule"]["Name"], problem))
     limits = [replaced["Limits"]] if "Limits" in replaced else []
+    # Tenants come first: a proxy that has a part of the configuration must not take it for one without tenants.
     return _without_duplicates(
         [
+            *(Change(TENANT, tenant["Name"], _version(tenant), tenant) for tenant in replaced.get("Customers", [])),
             *(Change(LIMITS, "", _version(limit), limit) for limit in limits),
             *(Change(ROUTE, route["Rule"]["Name"], _version(route["Rule"]), route) for route in routes),
             *(Change(SERVICE, service["Name"], _version(service), service) for service in replaced.get("Groups", [])),
@@ -133,13 +144,41 @@
 def _without_duplicates(changes: Iterable[Change]) -> Result[Call, Rejection]:
     """One change for each item. The same change may be named more than once."""
     by_item: dict[tuple[str, str], Change] = {}
-    routes: dict[RouteMatch, str] = {}
+    owners = _Owners()
     for change in changes:
-        if change.kind == ROUTE and change.body is not None:
-            taken_by = routes.setdefault(match_of(change.body), change.name)
-            if taken_by != change.name:
-                return Failure(MatchTaken(taken_by, change.name))
+        rejection = owners.add(change)
+        if rejection is not None:
+            return Failure(rejection)
         first = by_item.setdefault((change.kind, change.name), change)
         if (first.version, first.body) != (change.version, change.body):
             return Failure(ContradictoryChanges(change.kind, change.name))
     return Success(list(by_item.values()))
+
+
+class _Owners:
+    """What only one of the items that a call sets may have."""
+
+    def __init__(self) -> None:
+        self._routes: dict[RouteMatch, str] = {}
+        self._tenants: dict[bytes, str] = {}  # by key
+
+    def add(self, change: Change) -> Rejection | None:
+        """Add what a change sets, unless another item has it."""
+        if change.body is None:
+            return None
+        if change.kind == ROUTE:
+            return self._add_route(change)
+        if change.kind == TENANT:
+            return self._add_tenant(change)
+        return None
+
+    def _add_route(self, change: Change) -> Rejection | None:
+        taken_by = self._routes.setdefault(match_of(change.body), change.name)
+        return None if taken_by == change.name else MatchTaken(taken_by, change.name)
+
+    def _add_tenant(self, change: Change) -> Rejection | None:
+        for key in change.body["ApiKeys"]:
+            taken_by = self._tenants.setdefault(encode_key(key), change.name)
+            if taken_by != change.name:
+                return KeyTaken(taken_by, change.name)
+        return None
--- a/lilacsill/mesh/store/draft.py
+++ b/lilacsill/mesh/store/draft.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from lilacsill.mesh.runtime.messages import Item
+from lilacsill.mesh.tenants.tenant import keys_of
 
+from .owner_index import OwnerOverlay
+from .rejections import KeyTaken, MatchTaken
 from .route_index import RouteMatch, RouteReferences, references_of
 from .state import size_of
 
@@ -30,12 +33,11 @@
     def reference_count(self, service: str) -> int:
         """Return how many routes refer to the service."""
 
+    def key_owner(self, key: bytes) -> str | None:
+        """Return the name of the tenant with this key."""
 
-class MatchConflict(NamedTuple):
-    """Two routes with the same host and path prefix."""
 
-    taken_by: str
-    route: str
+Conflict = MatchTaken | KeyTaken
 
 
 class Draft:
@@ -44,7 +46,8 @@
     def __init__(self, base: Base) -> None:
         self._base = base
         self.items: dict[tuple[str, str], Item] = {}  # by kind and name, in the order of their sequence numbers
-        self._routes: dict[RouteMatch, str | None] = {}  # None: the base's route is no longer there
+        self._routes: OwnerOverlay[RouteMatch] = OwnerOverlay(base.route_at)
+        self._key_owners: OwnerOverlay[bytes] = OwnerOverlay(base.key_owner)
         self._reference_deltas: dict[str, int] = {}  # by service: routes more than in the base
         self.seq, self.size = base.seq, base.size
 
@@ -54,31 +57,35 @@
 
     def route_at(self, match: RouteMatch) -> str | None:
         """Return the name of the route with this match."""
-        return self._routes[match] if match in self._routes else self._base.route_at(match)
+        return self._routes.owner(match)
+
+    def key_owner(self, key: bytes) -> str | None:
+        """Return the name of the tenant with this key."""
+        return self._key_owners.owner(key)
 
     def reference_count(self, service: str) -> int:
         """Return how many routes refer to the service."""
         return self._base.reference_count(service) + self._reference_deltas.get(service, 0)
 
-    def put(self, items: Iterable[Item]) -> list[MatchConflict]:
-        """Put items into the draft, all at once: routes may exchange their matches.
+    def put(self, items: Iterable[Item]) -> list[Conflict]:
+        """Put items into the draft, all at once: routes may exchange their matches, tenants their keys.
 
         Args:
-            items: at most one of each name.
+            items: at most one of each kind and name.
+
+        Returns:
+            What two items have that only one may have.
         """
         changed = list(items)
         for item in changed:
             current = self.item(item.kind, item.name)
             self._remove_references(item.name, references_of(current))
+            self._release_keys(item.name, current)
             self.size += size_of(item) - (0 if current is None else size_of(current))
-        conflicts = []
+        conflicts: list[Conflict] = []
         for item in changed:
-            references = references_of(item)
-            if references is not None:
-                taken_by = self.route_at(references.match)
-                if taken_by is not None:
-                    conflicts.append(MatchConflict(taken_by, item.name))
-                self._add_references(item.name, references)
+            conflicts += self._add_references(item.name, references_of(item))
+            conflicts += self._assign_keys(item)
             self.items.pop((item.kind, item.name), None)  # so that it moves to the end
             self.items[item.kind, item.name] = item
             self.seq = max(self.seq, item.seq)
@@ -89,7 +96,8 @@
         for key, item in above.items.items():
             self.items.pop(key, None)
             self.items[key] = item
-        self._routes.update(above._routes)
+        self._routes.merge(above._routes)
+        self._key_owners.merge(above._key_owners)
         for service, delta in above._reference_deltas.items():
             self._reference_deltas[service] = self._reference_deltas.get(service, 0) + delta
         self.seq, self.size = above.seq, above.size
@@ -97,12 +105,22 @@
     def _remove_references(self, name: str, references: RouteReferences | None) -> None:
         if references is None:
             return
-        if self.route_at(references.match) == name:
-            self._routes[references.match] = None
+        self._routes.release(references.match, name)
         for service in references.services:
             self._reference_deltas[service] = self._reference_deltas.get(service, 0) - 1
 
-    def _add_references(self, name: str, references: RouteReferences) -> None:
-        self._routes[references.match] = name
+    def _add_references(self, name: str, references: RouteReferences | None) -> list[Conflict]:
+        if references is None:
+            return []
         for service in references.services:
             self._reference_deltas[service] = self._reference_deltas.get(service, 0) + 1
+        taken_by = self._routes.assign(references.match, name)
+        return [] if taken_by is None else [MatchTaken(taken_by, name)]
+
+    def _release_keys(self, name: str, current: Item | None) -> None:
+        for key in keys_of(current):
+            self._key_owners.release(key, name)
+
+    def _assign_keys(self, item: Item) -> list[Conflict]:
+        previous = [self._key_owners.assign(key, item.name) for key in keys_of(item)]
+        return [KeyTaken(taken_by, item.name) for taken_by in previous if taken_by is not None]
--- a/lilacsill/mesh/store/rejections.py
+++ b/lilacsill/mesh/store/rejections.py
@@ -100,6 +100,18 @@
         return f"routes {self.taken_by} and {self.route} have the same host and prefix"
 
 
+class KeyTaken(Rejection, frozen=True):
+    """Two tenants would have the same key. The key itself must not be shown."""
+
+    taken_by: str
+    tenant: str
+
+    @property
+    def message(self) -> str:
+        """The text for the operator."""
+        return f"tenants {self.taken_by} and {self.tenant} have the same key"
+
+
 class UnknownService(Rejection, frozen=True):
     """A route refers to a service that does not exist."""
 
--- a/lilacsill/mesh/store/state.py
+++ b/lilacsill/mesh/store/state.py
@@ -17,8 +17,10 @@
 
 from lilacsill.mesh.runtime.messages import Item
 from lilacsill.mesh.runtime.sequence import ItemKey, Items, highest_seq, items_after, sorted_by_seq, tombstones_up_to
+from lilacsill.mesh.tenants.tenant import TENANT
 
 from .digests import RANGE_COUNT, checksum_of, digest_of, range_of
+from .key_index import KeyIndex
 from .route_index import LIMITS, ROUTE, SERVICE, RouteIndex, RouteMatch
 
 ITEM_OVERHEAD_BYTES = 100  # of an item beyond its body and its record, on disk and in a message
@@ -60,6 +62,7 @@
         self.tombstone_floor = 0
         self.tombstones = 0
         self._route_index: RouteIndex | None = None  # made on first use: only a head needs one
+        self._key_index: KeyIndex | None = None  # the same
         self._last_seq = 0  # the highest sequence number of an item
         self._is_ordered = True
         self._keys_by_range: list[set[ItemKey]] | None = None  # while a copy is compared or repaired
@@ -86,7 +89,7 @@
             seq: With the last part of a repair, the sequence number up to which the state is complete then.
             tombstone_floor: As of `seq`.
         """
-        self._route_index = None
+        self._route_index = self._key_index = None
         for number in set(ranges):
             for key in list(self._range_index()[number]):
                 self._remove(key)
@@ -134,6 +137,8 @@
         self.size += size_of(item)
         if self._route_index is not None:
             self._route_index.replace(present, item)
+        if self._key_index is not None:
+            self._key_index.replace(present, item)
         if item.body is None:
             self.tombstones += 1
         self.items[key] = item
@@ -198,6 +203,14 @@
         """Return how many routes refer to a service."""
         return self._routes().reference_count(service)
 
+    def key_owner(self, key: bytes) -> str | None:
+        """Return the name of the tenant with this key."""
+        if self._key_index is None:
+            self._key_index = KeyIndex()
+            for item in self.items.values():
+                self._key_index.replace(None, item)
+        return self._key_index.owner(key)
+
     def _routes(self) -> RouteIndex:
         if self._route_index is None:
             self._route_index = RouteIndex()
@@ -220,6 +233,9 @@
             placed = _placed_rule.decode(body)
             hosts.setdefault(placed.Host, []).append(placed.Rule)
         configuration: dict[str, Any] = {}
+        tenants = list(map(msgspec.Raw, self._bodies(TENANT)))
+        if tenants:
+            configuration["Customers"] = tenants
         limits = self.item(LIMITS, "")
         if limits is not None and limits.body is not None:
             configuration["Limits"] = msgspec.Raw(limits.body)
--- a/lilacsill/mesh/store/validation.py
+++ b/lilacsill/mesh/store/validation.py
@@ -1,7 +1,7 @@
 """Check a call against the configuration in force, and apply it to a draft. No I/O.
 
 A change that was accepted before is recognised first and is not checked against today's configuration: its service may
-have been removed since, or its host and prefix be taken by another route.
+have been removed since, or its host and prefix be taken by another route, or a key by another tenant.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from .accepted_changes import ChangeKind, classify_change, with_new_version, with_recorded_version
 from .calls import Call, Change
 from .draft import Base, Draft
-from .rejections import MatchTaken, Rejection, ServiceInUse, UnknownService, VersionConflict, VersionForgotten
+from .rejections import Rejection, ServiceInUse, UnknownService, VersionConflict, VersionForgotten
 from .route_index import ROUTE, SERVICE
 
 
@@ -63,7 +63,7 @@
         current = draft.item(change.kind, change.name)
         items.append(with_new_version(current, change.kind, change.name, change.version, seq, body))
     for conflict in draft.put(items):
-        return MatchTaken(conflict.taken_by, conflict.route)
+        return conflict
     for change in newer:
         rejection = _check_references(draft, change)
         if rejection is not None:
--- a/tests/mesh/test_openapi.py
+++ b/tests/mesh/test_openapi.py
@@ -15,7 +15,14 @@
 ROOT = Path(__file__).parent.parent.parent
 DOCUMENT = yaml.safe_load((ROOT / "docs/api/openapi.yaml").read_text())
 SAME = {"minimum": "min", "minLength": "minlength", "maxLength": "maxlength", "pattern": "regex", "enum": "allowed"}
-TYPES = {"object": "dict", "array": "list", "string": "string", "integer": "integer", "number": "number"}
+TYPES = {
+    "object": "dict",
+    "array": "list",
+    "string": "string",
+    "integer": "integer",
+    "number": "number",
+    "boolean": "boolean",
+}
 
 
 def resolved(schema: dict[str, Any]) -> dict[str, Any]:
