--- a/tests/mesh/soak/test_soak.py
+++ b/tests/mesh/soak/test_soak.py
@@ -10,6 +10,8 @@
 pytestmark = [pytest.mark.soak, pytest.mark.xdist_group("mesh on loopback")]
 
 SECONDS = 20.0
+QUOTA_EXCEEDED = 429
+MIN_REPEATED = 20  # operations: a soak with fewer repeats has not judged them
 MIN_SERVED_SHARE = 0.5  # of the requests: a mesh that serves less was not judged
 
 
@@ -18,3 +20,12 @@
     report = play(SoakSettings(seed, SECONDS))
     assert not report.violations, describe(report)
     assert report.served > MIN_SERVED_SHARE * report.requests and report.changes_acknowledged > 1, describe(report)
+
+
+@pytest.mark.parametrize("seed", [5])
+def test_a_seeded_soak_of_a_shared_deployment_breaks_no_rule(seed: int) -> None:
+    report = play(SoakSettings(seed, SECONDS, shared=True))
+    assert not report.violations, describe(report)
+    owed = report.requests - report.statuses.get(QUOTA_EXCEEDED, 0)  # a hot tenant sends mostly beyond its limit
+    assert report.served > MIN_SERVED_SHARE * owed and report.changes_acknowledged > 1, describe(report)
+    assert report.operations_repeated > MIN_REPEATED, describe(report)
