Store: members grant tokens of the quotas that they own

Need: quotas need an owner whose right ends before a successor's begins.

Change: a member answers TokenRequest while leases of a majority for its view are valid and its copy is complete. Status and metrics say by name of the tenant what was granted, denied and is left; keys are in neither. StoreSettings carry the timing bounds.

Ruled out: granting while in the chain alone, since a frozen member would go on with old rights.

--- a/lilacsill/mesh/store/metrics.py
+++ b/lilacsill/mesh/store/metrics.py
@@ -15,6 +15,7 @@
     text = MetricsText()
     _add_view(text, store, now)
     _add_replication(text, store)
+    _add_quotas(text, store)
     return text.encode()
 
 
@@ -47,3 +48,13 @@
     text.gauge("oldest_save_age_seconds", "Age of the oldest write that the disk has not done", save_age_us / US_PER_S)
     text.counter("calls_rejected", "Calls of operators that this head refused", store.frontend.rejected)
     text.counter("repairs", "Repairs of the successor", chain.successor.repair_count)
+
+
+def _add_quotas(text: MetricsText, store: Store) -> None:
+    owner = store.quotas.owner
+    granted = {tenant: usage.granted for tenant, usage in owner.usage.items()}
+    denied = {tenant: usage.denied for tenant, usage in owner.usage.items()}
+    text.counter_by("tenant", "quota_granted", "Requests that this owner let pass, by tenant", granted)
+    text.counter_by("tenant", "quota_denied", "Requests beyond the quota, by tenant", denied)
+    text.gauge_by("tenant", "quota_tokens", "Tokens of the buckets that this member owns", owner.balances())
+    text.counter("quota_unknown_tenants", "Requests of tenants that are not configured", owner.unknown_tenants)
--- a/lilacsill/mesh/store/node.py
+++ b/lilacsill/mesh/store/node.py
@@ -20,9 +20,11 @@
     Read,
     Replicate,
     SummaryRequest,
+    TokenRequest,
     View,
     ViewChange,
 )
+from lilacsill.mesh.runtime.settings import TimingBounds
 
 from . import facts
 from .chain import Chain
@@ -33,6 +35,7 @@
 from .lease_manager import LeaseManager
 from .membership import Membership
 from .paxos import AcceptorState
+from .quotas import StoreQuotas
 from .replica import NO_VIEW, Replica
 
 FIRST_INCARNATION = "first"  # of the disk of a seed when the whole system starts for the first time
@@ -50,6 +53,7 @@
         new_incarnation: Incarnation of this machine's disk if the disk is empty.
         max_lost_machines: So many machines may be lost at once.
         max_lost_zones: So many zones or regions may be lost at once.
+        timing: The bounds on what all proxies share.
     """
 
     address: str
@@ -58,6 +62,7 @@
     new_incarnation: str
     max_lost_machines: int
     max_lost_zones: int = 0
+    timing: TimingBounds = TimingBounds()
 
 
 class DiskContents(msgspec.Struct, frozen=True):
@@ -78,6 +83,7 @@
         self.membership = membership = Membership(replica, chain, lease_manager, settings.seeds, tolerance)
         self.frontend = frontend = Frontend(replica, chain, membership.has_too_few_copies)
         self.followers = followers = Followers(replica, chain, membership)
+        self.quotas = StoreQuotas(replica, lease_manager, settings.timing)
         self.handlers: dict[type, Handler] = {
             Heartbeat: membership.handle_heartbeat,
             ViewChange: membership.handle_view_change,
@@ -89,6 +95,7 @@
             Confirm: frontend.handle_confirm,
             Prepare: lease_manager.prepare,
             Accept: lease_manager.accept,
+            TokenRequest: self.quotas.owner.handle_token_request,
         }
 
     def start(self) -> None:
--- a/lilacsill/mesh/store/process.py
+++ b/lilacsill/mesh/store/process.py
@@ -51,6 +51,7 @@
                 urandom(INCARNATION_BYTES).hex(),
                 settings.max_lost_machines,
                 settings.max_lost_zones,
+                settings.timing,
             ),
             DiskContents(disk.items, disk.facts),
         )
--- a/lilacsill/mesh/store/status.py
+++ b/lilacsill/mesh/store/status.py
@@ -34,4 +34,16 @@
         "peers": membership.peers(),
         "rejections": store.frontend.rejections,
         "repairs": chain.repairs,
+        "quotas": _quotas(store),
     }
+
+
+def _quotas(store: Store) -> dict[str, dict[str, float]]:
+    """Return by tenant what this member has granted and denied, and the tokens of the buckets that it has now."""
+    owner = store.quotas.owner
+    quotas: dict[str, dict[str, float]] = {
+        tenant: {"granted": usage.granted, "denied": usage.denied} for tenant, usage in owner.usage.items()
+    }
+    for tenant, balance in owner.balances().items():
+        quotas[tenant]["tokens"] = round(balance, 1)
+    return quotas
