--- a/tests/mesh/test_tenant_calls.py
+++ b/tests/mesh/test_tenant_calls.py
@@ -196,6 +196,12 @@
     assert (configuration.read() == before) is bool(refused)
 
 
+def test_a_call_with_overtaken_tenants_of_the_same_key_is_refused() -> None:
+    configuration = Configuration(tenants(tenant("a", 5), tenant("b", 5)))
+    overtaken = tenants(tenant("a", 3, "k"), tenant("b", 3, "k"))
+    assert configuration.refusal(overtaken) == (400, "tenants a and b have the same key")
+
+
 def test_a_refused_call_with_tenants_changes_nothing_else() -> None:
     configuration = Configuration(put([route("r", 1, "/r/")], first=True), HELD)
     call = tenants(tenant("c", 1, "k9", SECRET)) | {"RemoveItems": {"Routing": [{"Name": "r", "ConfigVersion": "r9"}]}}
