Proxy: requests wait for their permits, and operations that run once report their outcome

Ruled out: a second class of request before the forwarded one: the client's connection talks to one object for body, pauses and its end.

A body that comes while its request waits is kept whole and holds its client back.

--- a/lilacsill/mesh/proxy/forwarded_request.py
+++ b/lilacsill/mesh/proxy/forwarded_request.py
@@ -2,46 +2,32 @@
 
 A request that was rejected has arrived nowhere and is offered to the next endpoint at no cost. One that may have run is
 retried only where its route is idempotent and the retry budget has room; otherwise its client gets a failure that
-promises nothing. No other module sends a client's request again; `docs/control-safety.md` lists what each retry rests
-on.
+promises nothing. An operation that runs once goes on to its end though its client has left, for the repeats that are
+to get its response. No other module sends a client's request again; `docs/control-safety.md` lists what each retry
+rests on.
 """
 
 from __future__ import annotations
 
-from random import Random
-from typing import Protocol
-
 from lilacsill.http1.message import Message as HttpMessage
+from lilacsill.mesh.operations.operation_gate import OperationRun
 from lilacsill.mesh.runtime.log_ring import log
-from lilacsill.mesh.runtime.messages import (
-    BodyChunk,
-    Headers,
-    NoResponse,
-    Offer,
-    Rejected,
-    Response,
-    Suspected,
-)
-from lilacsill.mesh.runtime.reactor import Reactor
+from lilacsill.mesh.runtime.messages import BodyChunk, Headers, NoResponse, Offer, Rejected, Response, Suspected
 
 from .attempts import Attempt, AttemptHistory
-from .backend_connection import end_to_end_headers
 from .backend_request import MAX_BUFFERED_BYTES
+from .client_response import ClientResponse
 from .endpoint_table import EndpointLoad
 from .exchange import Exchange, Outcome
 from .reasons import FailureReason, RejectionReason
 from .request_body import RequestBody
-from .request_counters import RequestCounters
+from .request_head import attempt_id, client_patience_us, forwarded_headers, stated_length
+from .request_owner import RequestOwner
+from .request_permits import OwnResponse, PendingPermits, PermitNeeds, patience_until_us
 from .response_writer import ResponseWriter, retry_after
-from .route_statistics import RouteStatistics
 from .routes import Route
-from .suspected_attempts import SuspectedAttempt
-from .upstreams import Upstreams
+from .suspected_attempts import SuspectedAttempt, SuspectedAttempts
 
-# Headers of the client that the proxy sets itself or answers for.
-REPLACED_HEADERS = frozenset((b"calling-service", b"meant-server", b"time-left-ms", b"expect"))
-DEFAULT_PATIENCE_US = 60_000_000  # of a client that states none
-MAX_TIME_LEFT_DIGITS = 9  # more is no sensible time
 TIMEOUT_MARGIN_US = 20_000  # an outcome of another proxy that comes at the deadline is still waited for
 MIN_ATTEMPT_US = 2_000  # with less time left no attempt is worth while
 FAILING_SERVICE_RATE = 0.15  # failure rate of the best backend: then what the service calls is at fault
@@ -49,65 +35,61 @@
 EJECTING_REASONS = (RejectionReason.WRONG_INCARNATION, RejectionReason.UNREACHABLE)
 
 
-def client_patience_us(request: HttpMessage) -> int:
-    """Return how long the client waits for its response, by the request's `Time-Left-Ms`."""
-    time_left = request.fields.get(b"time-left-ms", b"")
-    if time_left.isdigit() and len(time_left) <= MAX_TIME_LEFT_DIGITS:
-        return int(time_left) * 1000
-    return DEFAULT_PATIENCE_US
-
-
-def stated_length(request: HttpMessage) -> int | None:
-    """Return the length of the body by the request's header; None where it comes in chunks."""
-    if request.length is None:
-        return None if b"transfer-encoding" in request.fields else 0
-    return request.length
-
-
-class RequestOwner(Protocol):
-    """What all requests of this proxy share, and the one that is notified of their ends."""
-
-    reactor: Reactor
-    rng: Random
-    upstreams: Upstreams
-    statistics: RouteStatistics
-    counters: RequestCounters
-    caller: bytes  # the service of the backend on this machine, which all its requests are marked with
-
-    def request_ended(self, request: ForwardedRequest) -> None:
-        """Forget the request."""
-
-
 class ForwardedRequest:
-    """The state of one request; the `exchange.OutcomeListener` of its exchanges."""
+    """The state of one request; the `OutcomeListener` of its exchanges and the `PermitListener` of its permits."""
 
     def __init__(
         self, owner: RequestOwner, request: HttpMessage, route: Route, response: ResponseWriter, is_complete: bool
     ) -> None:
-        self._owner, self._request, self._route, self._response = owner, request, route, response
+        self._owner, self._request, self._route = owner, request, route
+        self._response = ClientResponse(response, owner.counters)
         self._service = route.split.choose(owner.rng)
         self._table = owner.upstreams.table(self._service)
-        now = owner.reactor.now()
+        now = self._arrived_at = owner.reactor.now()
         patience_us = client_patience_us(request)
         self._deadline = now + min(patience_us, route.timeout_us)
         # A client that comes back has lost a part of the time of the target, too.
         self._target_at = now + route.target_us - owner.statistics.time_spent_us(route.name, patience_us)
-        self._headers = [line for line in end_to_end_headers(request) if line[0].lower() not in REPLACED_HEADERS]
-        self._headers.append((b"Calling-Service", owner.caller))
+        self._headers = forwarded_headers(request, owner.caller, None)
         self._body = RequestBody(request.take_body(), is_complete)
+        self._body.is_waiting = True  # for the permits of the request
         self._history = AttemptHistory()
         self._attempt: Attempt | None = None
         self._exchange: Exchange | None = None  # of the attempt, or of the response that is being streamed
-        self._suspects: list[SuspectedAttempt] = []  # open beside the attempt
-        self._is_streaming = False  # the head of the response has gone to the client
+        self._suspects = SuspectedAttempts(self._table, owner.reactor)  # open beside the attempt
+        self._permits: PendingPermits | None = None
+        self._run: OperationRun | None = None  # of an operation that runs once
         self.is_over = False
         self._timer = owner.reactor.after(max(0, self._deadline - now) + TIMEOUT_MARGIN_US, self._on_timeout)
 
     def start(self) -> None:
+        """Ask for what the request needs before its first attempt."""
+        self._permits = self._owner.permits.request(self._permit_needs(), self)
+
+    def _permit_needs(self) -> PermitNeeds:
+        target_us = self._route.target_us
+        return PermitNeeds(
+            tenant="",
+            is_limited=False,
+            operation_key=self._request.fields.get(b"operation-key") if self._route.is_keyed else None,
+            attempt_id=attempt_id(self._request),
+            target_us=target_us,
+            patience_until_us=patience_until_us(self._arrived_at, target_us, self._deadline),
+        )
+
+    def on_permitted(self, run: OperationRun | None) -> None:
         """Make the first attempt."""
+        if run is not None:
+            self._run = run
+            self._response.record_for(run)
+        self._body.is_waiting = False
         self._owner.upstreams.budget(self._service).record_request(self._owner.reactor.now())
         self._start_attempt()
 
+    def on_answered(self, response: OwnResponse) -> None:
+        """Answer without an attempt."""
+        self._respond(response.status, response.headers, response.body)
+
     # For the client's connection
 
     def add_body(self, data: bytes, is_last: bool) -> None:
@@ -119,6 +101,8 @@
     @property
     def unsent(self) -> int:
         """Bytes of the body that the other end of the exchange has not taken."""
+        if self._body.is_waiting:
+            return len(self._body.data)
         return self._exchange.unsent if self._exchange is not None else 0
 
     def resume_response(self) -> None:
@@ -128,17 +112,23 @@
 
     def cancel(self) -> None:
         """Give the request up: its client has closed the connection."""
-        if self.is_over:
+        if self.is_over or self._response.is_client_gone:
             return
-        self._set_over()
         self._owner.counters.cancelled += 1
+        exchange = self._exchange
+        if self._run is not None and exchange is not None and self._body.is_complete:
+            # A backend may be at work on it, and a repeat of the operation is to get its response.
+            self._response.drop_client()
+            exchange.resume()
+            return
+        self._set_over()
         self._abandon_attempt()
-        if self._exchange is not None:
-            self._exchange.cancel()
+        if exchange is not None:
+            exchange.cancel()
 
     @property
     def _attempt_id(self) -> str:
-        return self._request.fields.get(b"attempt-id", b"").decode("latin-1")
+        return attempt_id(self._request).decode("latin-1")
 
     def break_off(self) -> None:
         """Answer at once, since the process ends. The request may have run."""
@@ -162,7 +152,6 @@
 
     def _offer_to(self, entry: EndpointLoad, now: int) -> Offer:
         request, route = self._request, self._route
-        length = stated_length(request)
         return Offer(
             server=entry.endpoint.server,
             service=self._service,
@@ -172,7 +161,7 @@
             headers=self._headers,
             body=self._body.data,
             body_complete=self._body.is_complete,
-            content_length=-1 if length is None else length,
+            content_length=stated_length(request),
             time_left_ms=(self._deadline - now) // 1000,
             target_left_ms=(self._target_at - now) // 1000,
             priority=route.priority,
@@ -207,7 +196,7 @@
             self._on_response(message)
         elif isinstance(message, BodyChunk):
             self._on_body_chunk(message)
-        elif self._is_streaming:
+        elif self._response.is_streaming:
             self._abort_response()
         else:
             self._on_failed_attempt(self._end_attempt(message), message.reason)
@@ -221,7 +210,7 @@
             return
         if not self._may_retry(arrivals=self._history.arrivals + 1):
             return
-        self._suspects.append(SuspectedAttempt(self, attempt, exchange))
+        self._suspects.add(SuspectedAttempt(self, attempt, exchange))
         self._attempt = self._exchange = None
         self._record_failed(attempt.entry, message.reason)
         self._start_attempt()
@@ -230,12 +219,12 @@
         """Handle the response of a backend that was suspected. A failure counts only where nothing else may come."""
         if self.is_over:
             return
-        is_alone = self._attempt is None and self._suspects == [suspect]
+        is_alone = self._attempt is None and self._suspects.is_only(suspect)
         if response.status >= 500 and not is_alone:
             suspect.exchange.cancel()
             self.on_suspect_failed(suspect)
             return
-        self._suspects.remove(suspect)
+        self._suspects.take(suspect)
         exchange = self._exchange
         self._abandon_attempt()
         if exchange is not None:
@@ -248,15 +237,10 @@
         """Handle that a suspected attempt is over; where it was the last one, the request has failed."""
         if self.is_over:
             return
-        self._suspects.remove(suspect)
-        self._end_suspect(suspect)
+        self._suspects.end(suspect)
         if self._attempt is None and not self._suspects:
             self._fail()
 
-    def _end_suspect(self, suspect: SuspectedAttempt) -> None:
-        attempt = suspect.attempt
-        self._table.attempt_ended(attempt.entry, attempt.number, None, self._owner.reactor.now())
-
     def on_unreachable(self) -> None:
         """Handle that no link could be opened: the request was offered to nobody."""
         if self.is_over:
@@ -271,7 +255,7 @@
         """Handle that the request was offered and its outcome will never be known."""
         if self.is_over:
             return
-        if self._is_streaming:
+        if self._response.is_streaming:
             self._abort_response()
             return
         entry = self._end_attempt(None)
@@ -309,20 +293,18 @@
             self._pass_on(message, exchange)
 
     def _pass_on(self, message: Response, exchange: Exchange | None) -> None:
+        self._response.record(message)
         if message.body_complete:
             if message.status < 300:
                 self._owner.statistics.record_duration(self._route.name, message.duration_ms)
             self._respond(message.status, message.headers, message.body)
             return
-        self._exchange, self._is_streaming = exchange, True
-        self._drop_suspects()
-        self._owner.counters.responses[message.status] += 1
-        length = None if message.content_length < 0 else message.content_length
-        unsent = self._response.start_response(message.status, message.headers, length, message.body)
-        self._pause_above_limit(unsent)
+        self._exchange = exchange
+        self._suspects.cancel_all()
+        self._pause_above_limit(self._response.start(message))
 
     def _on_body_chunk(self, message: BodyChunk) -> None:
-        self._pause_above_limit(self._response.send_body(message.data, message.last))
+        self._pause_above_limit(self._response.add(message))
         if message.last:
             self._set_over()
 
@@ -373,12 +355,14 @@
         """Answer that no backend takes the request now, unless one that has it may still answer."""
         if self._suspects:
             return
+        if self._run is not None:
+            self._run.release()
         self._respond(503, [retry_after(self._route.target_us, self._owner.rng)], b"refused\n")
 
     def _on_timeout(self) -> None:
         if self.is_over:
             return
-        if self._is_streaming:
+        if self._response.is_streaming:
             self._abort_response()
             return
         exchange, self._exchange = self._exchange, None
@@ -389,26 +373,22 @@
 
     def _respond(self, status: int, headers: Headers, body: bytes) -> None:
         self._set_over()
-        self._owner.counters.responses[status] += 1
-        self._response.send_response(status, headers, body)
+        self._response.send_own(status, headers, body)
 
     def _abort_response(self) -> None:
         """End a response that has begun, so that its client sees that it is not complete."""
         exchange, self._exchange = self._exchange, None
         self._set_over()
-        self._owner.counters.truncated += 1
         if exchange is not None:
             exchange.cancel()
-        self._response.abort()
-
-    def _drop_suspects(self) -> None:
-        suspects, self._suspects = self._suspects, []
-        for suspect in suspects:
-            suspect.exchange.cancel()
-            self._end_suspect(suspect)
+        self._response.truncate()
 
     def _set_over(self) -> None:
         self.is_over = True
-        self._drop_suspects()
+        if self._permits is not None and not self._permits.is_over:
+            self._permits.cancel()
+        if self._run is not None:
+            self._run.record_unknown()  # unless its outcome has been reported
+        self._suspects.cancel_all()
         self._timer.cancel()
         self._owner.request_ended(self)
--- a/lilacsill/mesh/proxy/forwarder.py
+++ b/lilacsill/mesh/proxy/forwarder.py
@@ -9,9 +9,12 @@
 from lilacsill.mesh.runtime.reactor import Reactor
 
 from .active_config import ActiveConfig
-from .forwarded_request import ForwardedRequest, client_patience_us
+from .forwarded_request import ForwardedRequest
 from .graceful_shutdown import GracefulShutdown
 from .request_counters import RequestCounters
+from .request_head import client_patience_us
+from .request_owner import InFlightRequest
+from .request_permits import RequestPermits
 from .response_writer import ResponseWriter, retry_after
 from .route_statistics import RouteStatistics
 from .routes import Route
@@ -21,7 +24,7 @@
 
 
 class Forwarder:
-    """Routes requests and forwards them; `forwarded_request.RequestOwner` of all of them."""
+    """Routes requests and forwards them; `request_owner.RequestOwner` of all of them."""
 
     def __init__(
         self,
@@ -37,7 +40,8 @@
         self.caller = service.encode()
         self.statistics = RouteStatistics()
         self.counters = RequestCounters()
-        self.in_flight: set[ForwardedRequest] = set()
+        self.permits = RequestPermits(reactor, rng)
+        self.in_flight: set[InFlightRequest] = set()
         self.is_config_current = is_config_current
         self.shutdown: GracefulShutdown | None = None  # from SIGTERM on
 
@@ -68,7 +72,7 @@
         forwarded.start()
         return forwarded
 
-    def request_ended(self, request: ForwardedRequest) -> None:
+    def request_ended(self, request: InFlightRequest) -> None:
         """Forget a request that has its response."""
         self.in_flight.discard(request)
 
--- a/lilacsill/mesh/proxy/routes.py
+++ b/lilacsill/mesh/proxy/routes.py
@@ -22,6 +22,8 @@
     prefix: bytes  # of the path
     split: TrafficSplit  # the services that it goes to
     is_idempotent: bool
+    is_keyed: bool  # its requests are operations that run once
+    is_public: bool  # its requests need no key of a tenant
     timeout_us: int
     target_us: int  # latency target; without one of its own, the timeout
     priority: int  # 0 is the most urgent
@@ -42,6 +44,8 @@
         prefix=rule["When"]["PathPrefix"].encode(),
         split=TrafficSplit([TrafficPart(part["TargetService"], part["Share"]) for part in parts]),
         is_idempotent=rule["RouteKind"] == "read_only",
+        is_keyed=rule["RouteKind"] == "keyed_write",
+        is_public=bool(rule.get("Public", False)),
         timeout_us=timeout_us,
         target_us=int(rule.get("TargetMs", 0) * 1000) or timeout_us,
         priority=int(rule.get("Rank", DEFAULT_PRIORITY)),
--- a/lilacsill/mesh/proxy/suspected_attempts.py
+++ b/lilacsill/mesh/proxy/suspected_attempts.py
@@ -9,8 +9,10 @@
 from typing import Protocol
 
 from lilacsill.mesh.runtime.messages import Response, Suspected
+from lilacsill.mesh.runtime.reactor import Reactor
 
 from .attempts import Attempt
+from .endpoint_table import EndpointTable
 from .exchange import Exchange, Outcome
 
 
@@ -52,3 +54,41 @@
     def on_link_lost(self) -> None:
         """End the attempt."""
         self._owner.on_suspect_failed(self)
+
+
+class SuspectedAttempts:
+    """Those of one request."""
+
+    __slots__ = ("_table", "_reactor", "_open")
+
+    def __init__(self, table: EndpointTable, reactor: Reactor) -> None:
+        """Begin without any; `table` has the endpoints of the request's service."""
+        self._table, self._reactor = table, reactor
+        self._open: list[SuspectedAttempt] = []
+
+    def __bool__(self) -> bool:
+        return bool(self._open)
+
+    def is_only(self, suspect: SuspectedAttempt) -> bool:
+        """Return whether no other suspected attempt is open."""
+        return self._open == [suspect]
+
+    def add(self, suspect: SuspectedAttempt) -> None:
+        """Keep an attempt open."""
+        self._open.append(suspect)
+
+    def take(self, suspect: SuspectedAttempt) -> None:
+        """Give an attempt back to its request, which counts its end."""
+        self._open.remove(suspect)
+
+    def end(self, suspect: SuspectedAttempt) -> None:
+        """Count the end of an attempt."""
+        self._open.remove(suspect)
+        number = suspect.attempt.number
+        self._table.attempt_ended(suspect.attempt.entry, number, None, self._reactor.now())
+
+    def cancel_all(self) -> None:
+        """Give all of them up."""
+        for suspect in list(self._open):
+            suspect.exchange.cancel()
+            self.end(suspect)
--- a/tests/control/defects_point_5.py
+++ b/tests/control/defects_point_5.py
@@ -102,7 +102,7 @@
 def an_answer_that_has_begun_has_no_end(patch: Patch) -> None:
     def answered(self: ForwardedRequest, m: Response) -> None:
         real(self, m)
-        if self._is_streaming:
+        if self._response.is_streaming:
             self._timer.cancel()
 
     real = ForwardedRequest._on_response
--- a/tests/rules/defects.py
+++ b/tests/rules/defects.py
@@ -14,8 +14,8 @@
     backend_connection,
     backend_lifecycle,
     client_connection,
-    forwarded_request,
     graceful_shutdown,
+    request_head,
 )
 from lilacsill.mesh.proxy.active_config import ActiveConfig
 from lilacsill.mesh.proxy.admission import AdmissionController
@@ -48,7 +48,7 @@
 
 
 def a_caller_may_say_who_it_is(patch: Patch) -> None:
-    patch.setattr(forwarded_request, "REPLACED_HEADERS", frozenset())
+    patch.setattr(request_head, "REPLACED_HEADERS", frozenset())
 
 
 def a_connection_with_the_rest_of_a_body_due_is_used_again(patch: Patch) -> None:
