Proxy: keys of tenants, tokens of quotas and claims on the way of a request

Need: a request runs for the tenant that has its key, within the tenant's quota, and a keyed write once.

Ruled out: reading a missing key as a call of a backend (a client may leave it out as well: only a public route, or a configuration without tenants, needs none); 401 from a proxy whose configuration is not proven current, also while it has no tenants yet and the request has a key: they may be on their way.

Change: tenant_check.py decides on the key of each request, so a key that was taken away ends with the next request of an open connection. Customer is set for all attempts. The rank of the tenant counts as three steps of a route's rank in Offer.priority; requests without a tenant count as the most urgent. request_permits.py asks for the token, then for the operation. shared_state.py connects both with the store, and the proxy answers OperationQuery. Refusals are counted by reason; those for lack of a decision are logged once a second.

--- a/lilacsill/mesh/operations/operation_gate.py
+++ b/lilacsill/mesh/operations/operation_gate.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable
 
 from lilacsill.mesh.runtime.core_members import CoreMembers
@@ -92,14 +91,12 @@
     Attributes:
         table: What is known of them.
         claims: Makes the claims on them.
-        refusals: How many requests were refused, by reason.
         replays: How many were answered with a stored response.
     """
 
     def __init__(self, table: OperationTable, environment: ClaimEnvironment, members: CoreMembers) -> None:
         self.table, self.environment = table, environment
         self.claims = ClaimClient(environment, members, table.record_granted)
-        self.refusals: Counter[Refusal] = Counter()
         self.replays = 0
 
     def request(
@@ -146,15 +143,9 @@
 
     def _run(self, record: OperationRecord) -> OperationRun | Refusal:
         if not self.table.start(record, self.environment.now()):
-            return self._count_refusal(Refusal.UNAVAILABLE)
+            return Refusal.UNAVAILABLE
         return OperationRun(self.table, record, self.environment)
 
     def _count(self, permission: StoredResponse | Refusal) -> StoredResponse | Refusal:
-        if isinstance(permission, Refusal):
-            return self._count_refusal(permission)
-        self.replays += 1
+        self.replays += isinstance(permission, StoredResponse)
         return permission
-
-    def _count_refusal(self, refusal: Refusal) -> Refusal:
-        self.refusals[refusal] += 1
-        return refusal
--- a/lilacsill/mesh/proxy/forwarded_request.py
+++ b/lilacsill/mesh/proxy/forwarded_request.py
@@ -13,6 +13,7 @@
 from lilacsill.mesh.operations.operation_gate import OperationRun
 from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import BodyChunk, Headers, NoResponse, Offer, Rejected, Response, Suspected
+from lilacsill.mesh.tenants.tenant import Tenant
 
 from .attempts import Attempt, AttemptHistory
 from .backend_request import MAX_BUFFERED_BYTES
@@ -39,8 +40,15 @@
     """The state of one request; the `OutcomeListener` of its exchanges and the `PermitListener` of its permits."""
 
     def __init__(
-        self, owner: RequestOwner, request: HttpMessage, route: Route, response: ResponseWriter, is_complete: bool
+        self,
+        owner: RequestOwner,
+        request: HttpMessage,
+        route: Route,
+        response: ResponseWriter,
+        is_complete: bool,
+        tenant: Tenant | None,
     ) -> None:
+        """Take a request that may go to its route; `tenant` has the key that it came with."""
         self._owner, self._request, self._route = owner, request, route
         self._response = ClientResponse(response, owner.counters)
         self._service = route.split.choose(owner.rng)
@@ -50,7 +58,8 @@
         self._deadline = now + min(patience_us, route.timeout_us)
         # A client that comes back has lost a part of the time of the target, too.
         self._target_at = now + route.target_us - owner.statistics.time_spent_us(route.name, patience_us)
-        self._headers = forwarded_headers(request, owner.caller, None)
+        self._tenant, self._priority = tenant, owner.priority(route, tenant)
+        self._headers = forwarded_headers(request, owner.caller, tenant.name if tenant is not None else None)
         self._body = RequestBody(request.take_body(), is_complete)
         self._body.is_waiting = True  # for the permits of the request
         self._history = AttemptHistory()
@@ -69,8 +78,8 @@
     def _permit_needs(self) -> PermitNeeds:
         target_us = self._route.target_us
         return PermitNeeds(
-            tenant="",
-            is_limited=False,
+            tenant="" if self._tenant is None else self._tenant.name,
+            is_limited=self._tenant is not None and self._tenant.is_limited,
             operation_key=self._request.fields.get(b"operation-key") if self._route.is_keyed else None,
             attempt_id=attempt_id(self._request),
             target_us=target_us,
@@ -164,7 +173,7 @@
             content_length=stated_length(request),
             time_left_ms=(self._deadline - now) // 1000,
             target_left_ms=(self._target_at - now) // 1000,
-            priority=route.priority,
+            priority=self._priority,
             idempotent=route.is_idempotent,
             may_have_run=self._history.arrivals > 0,
             expected_ms=self._owner.statistics.usual_ms(route.name) or 0,
--- a/lilacsill/mesh/proxy/forwarder.py
+++ b/lilacsill/mesh/proxy/forwarder.py
@@ -7,10 +7,12 @@
 
 from lilacsill.http1.message import Message as HttpMessage
 from lilacsill.mesh.runtime.reactor import Reactor
+from lilacsill.mesh.tenants.tenant import Tenant
 
 from .active_config import ActiveConfig
 from .forwarded_request import ForwardedRequest
 from .graceful_shutdown import GracefulShutdown
+from .reasons import RefusalReason
 from .request_counters import RequestCounters
 from .request_head import client_patience_us
 from .request_owner import InFlightRequest
@@ -18,6 +20,7 @@
 from .response_writer import ResponseWriter, retry_after
 from .route_statistics import RouteStatistics
 from .routes import Route
+from .tenant_check import KeyRefusal, check_tenant, request_priority
 from .upstreams import Upstreams
 
 UNKNOWN_CONFIG_RETRY_AFTER = (b"Retry-After", b"0.2")  # seconds; the configuration comes soon after a start
@@ -40,7 +43,7 @@
         self.caller = service.encode()
         self.statistics = RouteStatistics()
         self.counters = RequestCounters()
-        self.permits = RequestPermits(reactor, rng)
+        self.permits = RequestPermits(reactor, rng, self.counters)
         self.in_flight: set[InFlightRequest] = set()
         self.is_config_current = is_config_current
         self.shutdown: GracefulShutdown | None = None  # from SIGTERM on
@@ -63,11 +66,15 @@
         if route is None:
             self._refuse_without_route(response)
             return None
+        tenant = check_tenant(self.config, route, request, self.is_config_current)
+        if isinstance(tenant, KeyRefusal):
+            self._refuse_key(tenant, response)
+            return None
         if self.shutdown is not None and not self._can_finish(self.shutdown, request, route):
             self.counters.responses[503] += 1
             response.send_response(503, [retry_after(route.target_us, self.rng)], b"this proxy shuts down\n")
             return None
-        forwarded = ForwardedRequest(self, request, route, response, is_complete)
+        forwarded = ForwardedRequest(self, request, route, response, is_complete, tenant)
         self.in_flight.add(forwarded)
         forwarded.start()
         return forwarded
@@ -82,8 +89,24 @@
             self.counters.responses[404] += 1
             response.send_response(404, [], b"no route\n")
         else:
-            self.counters.responses[503] += 1
-            response.send_response(503, [UNKNOWN_CONFIG_RETRY_AFTER], b"the configuration is not known\n")
+            self._refuse_without_config(response)
+
+    def _refuse_without_config(self, response: ResponseWriter) -> None:
+        self.counters.responses[503] += 1
+        response.send_response(503, [UNKNOWN_CONFIG_RETRY_AFTER], b"the configuration is not known\n")
+
+    def _refuse_key(self, refusal: KeyRefusal, response: ResponseWriter) -> None:
+        if refusal is KeyRefusal.UNDECIDED:
+            self.counters.refusals[RefusalReason.KEY_UNDECIDED] += 1
+            self._refuse_without_config(response)
+            return
+        self.counters.refusals[RefusalReason.UNKNOWN_KEY] += 1
+        self.counters.responses[401] += 1
+        response.send_response(401, [], b"no tenant has this key\n")
+
+    def priority(self, route: Route, tenant: Tenant | None) -> int:
+        """Return how urgent a request of a tenant is on a route; lower is more urgent."""
+        return request_priority(route, tenant, self.config.has_tenants)
 
     def _can_finish(self, shutdown: GracefulShutdown, request: HttpMessage, route: Route) -> bool:
         time_left_us = min(client_patience_us(request), route.timeout_us)
--- a/lilacsill/mesh/proxy/offer_server.py
+++ b/lilacsill/mesh/proxy/offer_server.py
@@ -18,6 +18,8 @@
     IndirectPingReply,
     Message,
     Offer,
+    OperationQuery,
+    OperationReply,
     Ping,
     Response,
     Status,
@@ -38,6 +40,9 @@
     def status(self) -> bytes:
         """Return the status report as JSON."""
 
+    def operation(self, query: OperationQuery) -> OperationReply:
+        """Tell another proxy what became of an operation of this one."""
+
     def indirect_ping(self, request: IndirectPing, reply: Callable[[Message], None]) -> None:
         """Ping a third proxy for another one, and reply whether it answered."""
 
@@ -78,6 +83,8 @@
             link.send(IndirectPingReply(True), number)
         elif isinstance(message, IndirectPing):
             self._queries.indirect_ping(message, partial(self._reply, number))
+        elif isinstance(message, OperationQuery):
+            link.send(self._queries.operation(message), number)
         else:
             link.close()
 
--- a/lilacsill/mesh/proxy/process.py
+++ b/lilacsill/mesh/proxy/process.py
@@ -12,7 +12,7 @@
 from lilacsill.http1.message import Message as Request
 from lilacsill.mesh.runtime.control import ControlServer, Respond
 from lilacsill.mesh.runtime.log_ring import log
-from lilacsill.mesh.runtime.messages import IndirectPing, Message
+from lilacsill.mesh.runtime.messages import IndirectPing, Message, OperationQuery, OperationReply
 from lilacsill.mesh.runtime.metrics_server import PROXY_PORT, MetricsServer
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.runtime.rpc import OnReply, RpcClientPool
@@ -30,6 +30,7 @@
 from .known_endpoints import KnownEndpoints
 from .offer_server import OfferServer
 from .retry_budget import RetryBudgetSettings
+from .shared_state import SharedState
 from .shutdown_sequence import ShutdownSequence
 from .upstreams import Upstreams
 
@@ -62,6 +63,11 @@
         self._forwarder = Forwarder(
             reactor, self._config, upstreams, settings.service, rng, self._discovery.is_config_current
         )
+        self._shared_state = SharedState(
+            settings, ReactorEnvironment(reactor), lambda: self._discovery.registries.addresses
+        )
+        self._forwarder.permits.quota = self._shared_state.quota
+        self._forwarder.permits.operations = self._shared_state.operations
         self._offer_server = OfferServer(reactor, Address(settings.ip, settings.internal_ports[0]), self._gateway, self)
         self._clients = ClientListener(reactor, settings.listen["Outgoing"], self._forwarder)
         heartbeats = HeartbeatApi(reactor, self._gateway, self._discovery.announce)
@@ -153,16 +159,21 @@
         now = self._reactor.now()
         return encode_metrics(self._forwarder, self._gateway, self._discovery, self._failure_detector, now)
 
+    def operation(self, query: OperationQuery) -> OperationReply:
+        """Tell another proxy what became of an operation of this one."""
+        return self._shared_state.operations.reply_to(query)
+
     def indirect_ping(self, request: IndirectPing, reply: Callable[[Message], None]) -> None:
         """Ping a third proxy for another one, and reply whether it answered."""
         self._failure_detector.indirect_ping(request, reply)
 
 
 class ReactorEnvironment:
-    """The clock, the timers and the links that the failure detector uses in a real process."""
+    """The clock, the timers and the links that decisions use in a real process."""
 
     def __init__(self, reactor: Reactor) -> None:
-        self.now, self.after, self._peers = reactor.now, reactor.after, RpcClientPool(reactor)
+        self.now, self.after, self.call_soon = reactor.now, reactor.after, reactor.call_soon
+        self._peers = RpcClientPool(reactor)
 
     def ask(self, address: str, message: Message, timeout_us: int, answered: OnReply) -> None:
         """Send a question; `answered` is called once, with None if there was no answer in time."""
--- a/lilacsill/mesh/proxy/reasons.py
+++ b/lilacsill/mesh/proxy/reasons.py
@@ -15,6 +15,19 @@
     OUT_OF_TIME = "late"
 
 
+class RefusalReason(StrEnum):
+    """Why a request was answered before any attempt (`lilacsill_requests_refused_total`)."""
+
+    UNKNOWN_KEY = "unknown key"
+    KEY_UNDECIDED = "key not decided"  # the configuration here may not be the one in force
+    QUOTA_EXCEEDED = "quota"
+    QUOTA_UNDECIDED = "quota not decided"  # its owner did not answer in time
+    OPERATION_IN_PROGRESS = "operation in progress"
+    OPERATION_UNKNOWN = "operation unknown"  # it may have run
+    OPERATION_UNDECIDED = "operation not decided"  # neither the store nor the operation's owner answered in time
+    OPERATIONS_FULL = "operations full"
+
+
 class FailureReason(StrEnum):
     """Why a request that was passed to the backend got no response (`NoResponse.reason`)."""
 
--- a/lilacsill/mesh/proxy/request_counters.py
+++ b/lilacsill/mesh/proxy/request_counters.py
@@ -16,4 +16,5 @@
         self.unreachable = 0  # offers for which no link could be opened
         self.retries = 0  # attempts after one that reached a backend
         self.failed_attempts: Counter[str] = Counter()  # attempts that may have run, without a response, by reason
+        self.refusals: Counter[str] = Counter()  # requests that got no attempt, by `RefusalReason`
         self.broken_off = 0  # requests that were answered because this process ends
--- a/lilacsill/mesh/proxy/request_owner.py
+++ b/lilacsill/mesh/proxy/request_owner.py
@@ -6,10 +6,12 @@
 from typing import Protocol
 
 from lilacsill.mesh.runtime.reactor import Reactor
+from lilacsill.mesh.tenants.tenant import Tenant
 
 from .request_counters import RequestCounters
 from .request_permits import RequestPermits
 from .route_statistics import RouteStatistics
+from .routes import Route
 from .upstreams import Upstreams
 
 
@@ -31,5 +33,8 @@
     permits: RequestPermits
     caller: bytes  # the service of the backend on this machine, which all its requests are marked with
 
+    def priority(self, route: Route, tenant: Tenant | None) -> int:
+        """Return how urgent a request of a tenant is on a route; lower is more urgent."""
+
     def request_ended(self, request: InFlightRequest) -> None:
         """Forget the request."""
--- a/lilacsill/mesh/proxy/request_permits.py
+++ b/lilacsill/mesh/proxy/request_permits.py
@@ -13,13 +13,30 @@
 
 from lilacsill.mesh.operations.operation_gate import OperationGate, OperationRun, Permission
 from lilacsill.mesh.operations.operation_table import Refusal
+from lilacsill.mesh.quota.quota_client import QuotaClient
+from lilacsill.mesh.quota.quota_decision import QuotaDecision, QuotaVerdict
 from lilacsill.mesh.runtime.messages import Headers
 from lilacsill.mesh.runtime.records import StoredResponse
 
-from .response_writer import retry_after
+from .reasons import RefusalReason
+from .request_counters import RequestCounters
+from .response_writer import delay_header, retry_after
+from .undecided_log import UndecidedLog
 
 PATIENCE_SHARE = 0.22  # of the latency target, from the arrival of the request on
-UNKNOWN_OUTCOME_BODY = b"it is not known whether the operation ran\n"
+MIN_RETRY_AFTER_US = 5_000  # of a request beyond its tenant's quota
+
+OPERATION_REFUSALS = {
+    Refusal.IN_PROGRESS: RefusalReason.OPERATION_IN_PROGRESS,
+    Refusal.UNKNOWN: RefusalReason.OPERATION_UNKNOWN,
+    Refusal.UNAVAILABLE: RefusalReason.OPERATION_UNDECIDED,
+    Refusal.FULL: RefusalReason.OPERATIONS_FULL,
+}
+UNDECIDED_REASONS = (
+    RefusalReason.QUOTA_UNDECIDED,
+    RefusalReason.OPERATION_UNDECIDED,
+    RefusalReason.OPERATIONS_FULL,
+)
 
 
 class OwnResponse(msgspec.Struct, frozen=True):
@@ -68,7 +85,11 @@
 
     def start(self) -> None:
         """Ask for the first permit. The decision may come before this returns."""
-        self._request_operation()
+        quota = self._permits.quota
+        if quota is None or not self._needs.is_limited:
+            self._request_operation()
+        else:
+            self._waits_for = quota.request(self._needs.tenant, self._patience_us(), self._on_quota_decision)
 
     def cancel(self) -> None:
         """Withdraw the request: it has not run, and will not."""
@@ -80,6 +101,17 @@
     def _patience_us(self) -> int:
         return max(0, self._needs.patience_until_us - self._permits.now())
 
+    def _on_quota_decision(self, decision: QuotaDecision) -> None:
+        self._waits_for = None
+        if self.is_over:
+            return
+        if decision.verdict is QuotaVerdict.GRANTED:
+            self._request_operation()
+        elif decision.verdict is QuotaVerdict.DENIED:
+            self._answer(self._permits.beyond_quota(decision.retry_after_us))
+        else:
+            self._answer(self._permits.undecided(RefusalReason.QUOTA_UNDECIDED, self._needs.target_us))
+
     def _request_operation(self) -> None:
         key, operations = self._needs.operation_key, self._permits.operations
         if key is None or operations is None:
@@ -95,7 +127,7 @@
         elif isinstance(permission, StoredResponse):
             self._answer(replay(permission, self._needs.attempt_id))
         else:
-            self._answer(self._permits.refusal_response(permission, self._needs.target_us))
+            self._answer(self._permits.refused_operation(permission, self._needs.target_us))
 
     def _permit(self, run: OperationRun | None) -> None:
         self.is_over, self._waits_for = True, None
@@ -110,12 +142,15 @@
     """Gives the requests of one proxy what they need.
 
     Attributes:
-        operations: Decides on operations that run once; None: none is known to, as without a store.
+        quota: Gives tokens of tenants' quotas; None: there are no quotas.
+        operations: Decides on operations that run once; None: they run as other writes do.
     """
 
-    def __init__(self, clock: Clock, rng: Random, operations: OperationGate | None = None) -> None:
-        self._clock, self._rng = clock, rng
-        self.operations = operations
+    def __init__(self, clock: Clock, rng: Random, counters: RequestCounters) -> None:
+        self._clock, self._rng, self._counters = clock, rng, counters
+        self._undecided_log = UndecidedLog()
+        self.quota: QuotaClient | None = None
+        self.operations: OperationGate | None = None
 
     def now(self) -> int:
         """Return the current time in microseconds."""
@@ -127,13 +162,27 @@
         pending.start()
         return pending
 
-    def refusal_response(self, refusal: Refusal, target_us: int) -> OwnResponse:
-        """Return what a client gets whose operation may not run now."""
+    def beyond_quota(self, retry_after_us: int) -> OwnResponse:
+        """Return what a request beyond its tenant's quota gets."""
+        self._counters.refusals[RefusalReason.QUOTA_EXCEEDED] += 1
+        header = delay_header(max(MIN_RETRY_AFTER_US, retry_after_us))
+        return OwnResponse(429, [header], b"beyond the quota of the tenant\n")
+
+    def undecided(self, reason: RefusalReason, target_us: int) -> OwnResponse:
+        """Return what a request gets that nobody could decide on in time: it has not run and will not."""
+        self._counters.refusals[reason] += 1
+        self._undecided_log.record(reason, self.now())
+        return OwnResponse(503, [retry_after(target_us, self._rng)], b"not decided in time\n")
+
+    def refused_operation(self, refusal: Refusal, target_us: int) -> OwnResponse:
+        """Return what a request gets whose operation may not run now."""
+        reason = OPERATION_REFUSALS[refusal]
+        if reason in UNDECIDED_REASONS:
+            return self.undecided(reason, target_us)
+        self._counters.refusals[reason] += 1
         if refusal is Refusal.IN_PROGRESS:
             return OwnResponse(409, [], b"the operation is in progress\n")
-        if refusal is Refusal.UNKNOWN:
-            return OwnResponse(502, [], UNKNOWN_OUTCOME_BODY)
-        return OwnResponse(503, [retry_after(target_us, self._rng)], b"not decided: it has not run\n")
+        return OwnResponse(502, [], b"it is not known whether the operation ran\n")
 
 
 class Clock(Protocol):
--- a/lilacsill/mesh/proxy/response_writer.py
+++ b/lilacsill/mesh/proxy/response_writer.py
@@ -32,5 +32,9 @@
 
 def retry_after(target_us: int, rng: Random) -> tuple[bytes, bytes]:
     """Return the header that tells a refused client when to come back."""
-    delay_s = RETRY_AFTER_PART * target_us / 1e6 * (JITTER_MIN + JITTER_SPAN * rng.random())
-    return b"Retry-After", b"%.3f" % delay_s
+    return delay_header(RETRY_AFTER_PART * target_us * (JITTER_MIN + JITTER_SPAN * rng.random()))
+
+
+def delay_header(delay_us: float) -> tuple[bytes, bytes]:
+    """Return the header that tells a refused client to come back after this delay."""
+    return b"Retry-After", b"%.3f" % (delay_us / 1e6)
--- a/tests/mesh/stage.py
+++ b/tests/mesh/stage.py
@@ -24,7 +24,7 @@
 from lilacsill.mesh.proxy.upstreams import Upstreams
 from lilacsill.mesh.proxy.active_config import ActiveConfig
 from lilacsill.mesh.runtime.link import Listener
-from lilacsill.mesh.runtime.messages import Endpoint, IndirectPing, Item
+from lilacsill.mesh.runtime.messages import Endpoint, IndirectPing, Item, OperationQuery, OperationReply
 from lilacsill.mesh.runtime.messages import Message as MeshMessage
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.net import reactor as watchers
@@ -220,6 +220,9 @@
     def status(self) -> bytes:
         raise AssertionError("nobody asks for the status")
 
+    def operation(self, query: OperationQuery) -> OperationReply:
+        raise AssertionError("nobody asks for an operation")
+
     def indirect_ping(self, request: IndirectPing, reply: Callable[[MeshMessage], None]) -> None:
         raise AssertionError("nobody asks for a ping")
 
--- a/tests/operations/test_operations.py
+++ b/tests/operations/test_operations.py
@@ -160,11 +160,12 @@
     one = world.proxy(ONE)
     world.lost = {HEAD, OTHER}
     began_at = world.clock
-    decided_at: list[int] = []
-    one.request("tenant", b"k", PATIENCE_US, lambda permission: decided_at.append(world.clock))
+    decided: list[tuple[Permission, int]] = []
+    one.request("tenant", b"k", PATIENCE_US, lambda permission: decided.append((permission, world.clock)))
     world.run()
-    assert PATIENCE_US <= decided_at[0] - began_at <= PATIENCE_US + 1_000
-    assert one.refusals[Refusal.UNAVAILABLE] == 1
+    (permission, decided_at), *_ = decided
+    assert permission is Refusal.UNAVAILABLE
+    assert PATIENCE_US <= decided_at - began_at <= PATIENCE_US + 1_000
     world.lost.clear()
     may_run(world.request(one))
 
--- /dev/null
+++ b/tests/rules/test_keys.py
@@ -0,0 +1,89 @@
+"""UNASKED, ROUTE, CONFIG: a request runs for the tenant that has its key, and a backend never sees the key."""
+
+from __future__ import annotations
+
+import pytest
+
+from lilacsill.mesh.proxy.tenant_check import request_priority
+from lilacsill.mesh.runtime.log_ring import log
+from tests.mesh.shared_stage import ACME_KEY, OTHER_KEY, SharedStage, shared_stage, tenant
+
+
+def seen_at(s: SharedStage, name: str) -> list[tuple[bytes | None, bytes | None]]:
+    """Key and tenant of each request that the backend got."""
+    return [(r.fields.get(b"credential"), r.fields.get(b"customer")) for r in s.backends[name].ran]
+
+
+@pytest.mark.parametrize("key", ["unknown", "", None])
+def test_a_key_that_no_tenant_has_is_refused_where_the_configuration_is_current(key: str | None) -> None:
+    with shared_stage() as s:
+        one = s.add("one")
+        assert s.get(s.read(1, key))[0] == 401
+        s.is_current = False
+        assert s.get(s.read(2, key))[0] == 503
+        assert not one.ran
+        assert s.fronts[0].forwarder.counters.refusals == {"unknown key": 1, "key not decided": 1}
+
+
+def test_a_public_route_needs_no_key_and_names_the_tenant_of_one() -> None:
+    with shared_stage() as s:
+        s.add("one")
+        for number, key in enumerate((None, "unknown", ACME_KEY)):
+            assert s.get(s.read(number, key, "/open/a", "Customer: forged\r\n"))[0] == 200
+        assert seen_at(s, "one") == [(None, None), (None, None), (None, b"acme")]
+
+
+def test_a_backend_sees_the_tenant_and_not_the_key_also_on_a_retry() -> None:
+    with shared_stage() as s:
+        one, _ = s.add("one"), s.add("two")
+        one.script = ["closes"]
+        s.prefer("one")
+        assert s.get(s.read(1, more="customer: forged\r\ncredential: another\r\n"))[0] == 200
+        assert seen_at(s, "one") == seen_at(s, "two") == [(None, b"acme")]
+        lines = [line for r in (*one.ran, *s.backends["two"].ran) for line in r.header_lines or []]
+        assert not any(ACME_KEY.encode() in value or value in (b"forged", b"another") for _, value in lines)
+
+
+def test_a_key_that_was_taken_away_ends_with_the_next_request_of_an_open_connection() -> None:
+    with shared_stage() as s:
+        one = s.add("one")
+        one.script = ["answers late"]
+        client = s.connect(s.read(1))
+        s.until(lambda: len(one.ran) == 1, "the first request runs")
+        s.apply(tenant("acme", ["another"], version=2))
+        client.send(s.read(2) + s.read(3, "another"))
+        s.until(lambda: len(client.answers) == 3, "there are all responses")
+        assert [r.status for r in client.answers] == [200, 401, 200]
+
+
+def test_tenants_that_have_not_come_yet_are_waited_for() -> None:
+    with shared_stage() as s:
+        s.add("one")
+        for name in ("acme", "other", "limited"):
+            dropped = tenant(name, [], version=9)
+            dropped.body = None
+            s.apply(dropped)
+        s.is_current = False
+        assert s.get(s.read(1))[0] == 503
+        s.is_current = True
+        assert s.get(s.read(2))[0] == 200 and s.get(s.read(3, None))[0] == 200
+
+
+def test_keys_are_in_no_log_line() -> None:
+    with shared_stage() as s:
+        one = s.add("one")
+        one.script = ["closes"]
+        s.get(s.read(1, "unknown"))
+        s.get(s.keyed(2))
+        assert not any(ACME_KEY in line or "unknown key" in line for line in log.tail())
+
+
+def test_the_rank_of_the_tenant_comes_before_that_of_the_route() -> None:
+    with shared_stage() as s:
+        config = s.forwarder.config
+        reads, keyed = config.match(b"h.example", b"/reads/a"), config.match(b"h.example", b"/keyed/a")
+        acme, other = config.tenants.find_by_key(ACME_KEY.encode()), config.tenants.find_by_key(OTHER_KEY.encode())
+        assert reads is not None and keyed is not None
+        assert request_priority(reads, other, True) < request_priority(reads, acme, True)
+        assert request_priority(reads, None, True) == request_priority(reads, other, True)
+        assert request_priority(reads, None, False) == reads.priority
