Proxy: figures of refusals and operations; planted defects of keys, quotas and repeats

Need: an operator asks why a request was refused and what became of an operation.

Change: metrics lilacsill_requests_refused_total by reason, lilacsill_operations, lilacsill_operation_response_bytes and lilacsill_operations_replayed_total; refusals and operations in the status of a proxy. No key is in either. Eleven planted defects in tests/rules.

--- a/lilacsill/mesh/operations/operation_table.py
+++ b/lilacsill/mesh/operations/operation_table.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from enum import Enum
 
 import msgspec
@@ -114,6 +114,10 @@
     def __len__(self) -> int:
         return len(self._records)
 
+    def count_states(self) -> dict[str, int]:
+        """Return how many records are in each state; for operators, since it takes a walk over all of them."""
+        return dict(Counter(record.state.value for record in self._records.values()))
+
     # Requests of this proxy
 
     def begin(self, name: str, now: int) -> Beginning:
--- a/lilacsill/mesh/proxy/metrics.py
+++ b/lilacsill/mesh/proxy/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lilacsill.mesh.operations.operation_gate import OperationGate
 from lilacsill.mesh.runtime.metrics_text import MetricsText
 
 from .backend_gateway import BackendGateway
@@ -16,6 +17,7 @@
     """Return the figures of the moment `now`, in microseconds, as text."""
     text = MetricsText()
     _add_requests(text, forwarder)
+    _add_operations(text, forwarder.permits.operations)
     _add_backend(text, gateway, now)
     _add_configuration(text, forwarder, discovery, now)
     text.gauge("suspected_proxies", "Other proxies that this one cannot reach", len(detector.suspects))
@@ -34,10 +36,19 @@
     text.counter_by(
         "reason", "attempts_failed", "Attempts that may have run and had no response", counters.failed_attempts
     )
+    text.counter_by("reason", "requests_refused", "Requests answered before any attempt", counters.refusals)
     text.counter("requests_broken_off", "Requests answered because this process ends", counters.broken_off)
     text.gauge("requests_in_flight", "Requests of clients of this machine", len(forwarder.in_flight))
 
 
+def _add_operations(text: MetricsText, operations: OperationGate | None) -> None:
+    if operations is None:
+        return
+    text.gauge("operations", "Operations with a key that this proxy remembers", len(operations.table))
+    text.gauge("operation_response_bytes", "Their stored responses", operations.table.stored_bytes)
+    text.counter("operations_replayed", "Repeats that got a stored response", operations.replays)
+
+
 def _add_backend(text: MetricsText, gateway: BackendGateway, now: int) -> None:
     admission, pool = gateway.admission, gateway.pool
     text.gauge("backend_slots", "Requests that the backend works on at once", admission.slots)
--- a/lilacsill/mesh/proxy/status_report.py
+++ b/lilacsill/mesh/proxy/status_report.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from lilacsill.mesh.operations.operation_gate import OperationGate
 from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import Load
 
@@ -43,6 +44,14 @@
     ejected_ms: int  # for so long it is left out, since its machine could not be reached
 
 
+class OperationsStatus(msgspec.Struct):
+    """The operations with a key that this proxy claimed, within the key window and a margin."""
+
+    states: dict[str, int]  # how many are in each `RecordState`
+    response_bytes: int
+    replayed: int  # repeats that got a stored response
+
+
 class ProxyStatus(msgspec.Struct):
     """The whole report."""
 
@@ -58,6 +67,8 @@
     monitors: list[str]  # the proxies that this one pings
     suspects: list[str]
     tables: dict[str, list[EndpointStatus]]  # by service
+    refusals: dict[str, int]  # requests that got no attempt, by `RefusalReason`
+    operations: OperationsStatus | None
     log: list[str]
 
 
@@ -87,10 +98,19 @@
             service: [_endpoint_status(entry, now) for entry in table.entries.values()]
             for service, table in forwarder.upstreams.tables.items()
         },
+        refusals=dict(forwarder.counters.refusals),
+        operations=_operations_status(forwarder.permits.operations),
         log=log.tail(),
     )
 
 
+def _operations_status(operations: OperationGate | None) -> OperationsStatus | None:
+    if operations is None:
+        return None
+    table = operations.table
+    return OperationsStatus(table.count_states(), table.stored_bytes, operations.replays)
+
+
 def _backend_status(gateway: BackendGateway) -> BackendStatus:
     lifecycle, pool = gateway.lifecycle, gateway.pool
     return BackendStatus(
--- a/tests/mesh/proxy/test_status_report.py
+++ b/tests/mesh/proxy/test_status_report.py
@@ -42,10 +42,17 @@
         "monitors",
         "suspects",
         "tables",
+        "refusals",
+        "operations",
         "log",
     ]
 
 
+def test_a_proxy_without_operations(report: dict[str, Any]) -> None:
+    assert report["refusals"] == {}
+    assert report["operations"] == {"states": {}, "response_bytes": 0, "replayed": 0}
+
+
 def test_a_backend_that_was_not_heard_of_is_waiting(report: dict[str, Any]) -> None:
     assert report["backend"] == {
         "server": "",
--- a/tests/rules/defects.py
+++ b/tests/rules/defects.py
@@ -4,18 +4,23 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import Any
 
 import pytest
 from msgspec.structs import replace
 
 from lilacsill.http1 import message as http_message
 from lilacsill.http1.message import Message, Reader
+from lilacsill.mesh.operations.operation_gate import OperationRun
 from lilacsill.mesh.proxy import (
     backend_connection,
     backend_lifecycle,
     client_connection,
+    forwarder,
     graceful_shutdown,
     request_head,
+    request_permits,
+    tenant_check,
 )
 from lilacsill.mesh.proxy.active_config import ActiveConfig
 from lilacsill.mesh.proxy.admission import AdmissionController
@@ -23,14 +28,17 @@
 from lilacsill.mesh.proxy.backend_lifecycle import BackendHeartbeat, BackendLifecycle
 from lilacsill.mesh.proxy.backend_request import BackendRequest
 from lilacsill.mesh.proxy.client_connection import ClientConnection
+from lilacsill.mesh.proxy.client_response import ClientResponse
 from lilacsill.mesh.proxy.client_listener import ClientListener
 from lilacsill.mesh.proxy.endpoint_table import EndpointLoad
 from lilacsill.mesh.proxy.exchange_links import LinkExchange
 from lilacsill.mesh.proxy.forwarded_request import ForwardedRequest
 from lilacsill.mesh.proxy.graceful_shutdown import GracefulShutdown
 from lilacsill.mesh.proxy.offer_server import OfferLink
+from lilacsill.mesh.proxy.request_permits import OwnResponse, PendingPermits
 from lilacsill.mesh.proxy.reasons import RejectionReason
 from lilacsill.mesh.proxy.retry_budget import RetryBudget
+from lilacsill.mesh.proxy.routes import Route
 from lilacsill.mesh.proxy.served_shares import ServedShares
 from lilacsill.mesh.proxy.shutdown_sequence import ShutdownSequence
 from lilacsill.mesh.proxy.traffic_split import TrafficSplit
@@ -40,6 +48,7 @@
 from lilacsill.mesh.runtime.messages import Item, Offer
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.store.failure_detector import FailureDetector
+from lilacsill.mesh.tenants.tenant import Tenant
 
 Patch = pytest.MonkeyPatch
 MOMENT_US = 100_000
@@ -55,6 +64,75 @@
     patch.setattr(BackendConnection, "can_be_reused", property(lambda self: self.open and self.reusable))
 
 
+def any_key_is_a_tenants(patch: Patch) -> None:
+    real = tenant_check.check_tenant
+
+    def check(*arguments: Any) -> Tenant | None:
+        tenant = real(*arguments)
+        return None if isinstance(tenant, tenant_check.KeyRefusal) else tenant
+
+    patch.setattr(forwarder, "check_tenant", check)
+
+
+def keys_are_checked_when_their_connection_begins(patch: Patch) -> None:
+    first: dict[bytes, Tenant | tenant_check.KeyRefusal | None] = {}
+    real = tenant_check.check_tenant
+
+    def check(config: ActiveConfig, route: Route, request: Message, is_current: Callable[[], bool]) -> Any:
+        key = request.fields.get(b"credential", b"")
+        return first.setdefault(key, real(config, route, request, is_current))
+
+    patch.setattr(forwarder, "check_tenant", check)
+
+
+def tenants_are_taken_as_complete(patch: Patch) -> None:
+    real = tenant_check.check_tenant
+
+    def check(config: ActiveConfig, route: Route, request: Message, is_current: Callable[[], bool]) -> Any:
+        return real(config, route, request, lambda: True)
+
+    patch.setattr(forwarder, "check_tenant", check)
+
+
+# QUOTA
+
+
+def limited_tenants_ask_nobody(patch: Patch) -> None:
+    patch.setattr(Tenant, "is_limited", property(lambda self: False))
+
+
+def requests_wait_for_permits_as_long_as_their_clients(patch: Patch) -> None:
+    patch.setattr(request_permits, "PATIENCE_SHARE", 2.0)
+
+
+def a_token_that_is_waited_for_is_taken_though_the_client_left(patch: Patch) -> None:
+    patch.setattr(PendingPermits, "cancel", lambda self: None)
+
+
+# TWICE
+
+
+def operations_are_not_claimed(patch: Patch) -> None:
+    patch.setattr(PendingPermits, "_request_operation", lambda self: self._permit(None))
+
+
+def a_client_that_leaves_ends_its_operation(patch: Patch) -> None:
+    patch.setattr(ClientResponse, "drop_client", lambda self: None)
+    patch.setattr(LinkExchange, "resume", LinkExchange.cancel)
+
+
+def repeats_keep_the_first_attempt_id(patch: Patch) -> None:
+    patch.setattr(
+        request_permits,
+        "replay",
+        lambda response, attempt_id: OwnResponse(response.status, response.headers, response.body),
+    )
+
+
+def what_may_have_run_is_released(patch: Patch) -> None:
+    patch.setattr(OperationRun, "record_unknown", OperationRun.release)
+
+
 # GONE
 
 
--- a/tests/rules/test_defects.py
+++ b/tests/rules/test_defects.py
@@ -18,10 +18,13 @@
     test_denied,
     test_drain,
     test_gone,
+    test_keys,
     test_lost,
     test_mixed,
+    test_quota_waits,
     test_shares,
     test_starved,
+    test_twice,
     test_unasked,
 )
 
@@ -31,6 +34,49 @@
         defects.a_connection_with_the_rest_of_a_body_due_is_used_again,
         test_unasked.test_after_an_early_answer_nothing_goes_where_the_rest_of_the_body_is_due,
     ),
+    broken(
+        defects.any_key_is_a_tenants,
+        test_keys.test_a_key_that_no_tenant_has_is_refused_where_the_configuration_is_current,
+        "unknown",
+    ),
+    broken(
+        defects.keys_are_checked_when_their_connection_begins,
+        test_keys.test_a_key_that_was_taken_away_ends_with_the_next_request_of_an_open_connection,
+    ),
+    broken(defects.tenants_are_taken_as_complete, test_keys.test_tenants_that_have_not_come_yet_are_waited_for),
+    broken(
+        defects.a_caller_may_say_who_it_is,
+        test_keys.test_a_backend_sees_the_tenant_and_not_the_key_also_on_a_retry,
+    ),
+    broken(
+        defects.limited_tenants_ask_nobody,
+        test_quota_waits.test_a_request_with_a_token_runs_and_one_beyond_the_quota_gets_429,
+    ),
+    broken(
+        defects.requests_wait_for_permits_as_long_as_their_clients,
+        test_quota_waits.test_without_a_decision_the_refusal_is_not_late,
+    ),
+    broken(
+        defects.a_token_that_is_waited_for_is_taken_though_the_client_left,
+        test_quota_waits.test_a_client_that_leaves_while_its_request_waits_runs_nothing,
+    ),
+    broken(
+        defects.operations_are_not_claimed,
+        test_twice.test_of_the_same_operation_at_two_proxies_at_once_one_runs_and_the_other_is_in_progress,
+    ),
+    broken(
+        defects.a_client_that_leaves_ends_its_operation,
+        test_twice.test_a_client_that_leaves_and_repeats_gets_the_response_of_its_first_request,
+    ),
+    broken(
+        defects.repeats_keep_the_first_attempt_id,
+        test_twice.test_a_repeat_at_another_proxy_gets_the_first_response_under_its_own_attempt_id,
+    ),
+    broken(
+        defects.what_may_have_run_is_released,
+        test_twice.test_what_may_have_run_without_a_response_runs_at_no_other_backend_and_no_other_proxy,
+        "closes",
+    ),
     broken(
         defects.a_leaving_proxy_says_that_it_is_ready,
         test_graceful_shutdown.test_a_proxy_is_not_ready_from_sigterm_on,
--- a/tests/rules/test_twice.py
+++ b/tests/rules/test_twice.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from lilacsill.mesh.proxy.metrics import _add_operations
+from lilacsill.mesh.runtime.metrics_text import MetricsText
 from tests.mesh.shared_stage import OTHER_KEY, shared_stage
 from tests.mesh.stage import request
 
@@ -145,3 +147,18 @@
         s.store.is_silent = False
         assert s.get(s.keyed(2))[0] == 200
         assert len(one.ran) == 1
+
+
+def test_figures_tell_what_became_of_operations() -> None:
+    with shared_stage() as s:
+        s.add("one").script = ["answers", "closes"]
+        for number, key in enumerate(("k1", "k1", "k2", "k2")):
+            s.get(s.keyed(number, key))
+        forwarder, table = s.fronts[0].forwarder, s.fronts[0].operations.table
+        assert table.count_states() == {"answered": 1, "unknown": 1}
+        assert forwarder.counters.refusals == {"operation unknown": 1}
+        text = MetricsText()
+        _add_operations(text, s.fronts[0].operations)
+        lines = text.encode().decode().splitlines()
+        assert f"lilacsill_operation_response_bytes {float(table.stored_bytes)}" in lines
+        assert "lilacsill_operations 2.0" in lines and "lilacsill_operations_replayed_total 1.0" in lines
