Claims: an operation is owned only once its claim is granted

Cause: a claim that was answered 'owned', by the proxy's own record, counted as granted. The head says so at once, before the record is on all disks, where it may only say granted after the commit.

Change: only GRANTED is a grant; anything else about the own record is asked again. Found by reading.

Result: tests of operations and rules pass (323).

--- a/lilacsill/mesh/operations/claim_client.py
+++ b/lilacsill/mesh/operations/claim_client.py
@@ -138,8 +138,7 @@
             return
         members = self._client.members
         members.learn(reply.view_number, reply.members)
-        is_own = reply.owner == self._claim.owner
-        if reply.status == ClaimStatus.GRANTED or (reply.status == ClaimStatus.OWNED and is_own):
+        if reply.status == ClaimStatus.GRANTED:
             self._client.on_granted(self._claim.operation, self._claim.owner)
             self._decide(ClaimOutcome.GRANTED)
         elif reply.status == ClaimStatus.OWNED and reply.owner is not None:
