Claims: a claim that the head has not committed yet is asked for again, not its own proxy

Cause: 'owned' by the own record led to a question to the own process, which answers 'in progress'; the record was then forgotten. The head does not answer so today; a member that does must not cost the operation.

Change: the own record counts as undecided, and the claim is repeated.

Result: the new test fails without the change; tests/operations: 95 passed.

--- a/lilacsill/mesh/operations/claim_client.py
+++ b/lilacsill/mesh/operations/claim_client.py
@@ -141,7 +141,7 @@
         if reply.status == ClaimStatus.GRANTED:
             self._client.on_granted(self._claim.operation, self._claim.owner)
             self._decide(ClaimOutcome.GRANTED)
-        elif reply.status == ClaimStatus.OWNED and reply.owner is not None:
+        elif reply.status == ClaimStatus.OWNED and reply.owner not in (None, self._claim.owner):
             self._query(reply.owner)
         elif reply.status == ClaimStatus.FULL:
             self._decide(ClaimOutcome.FULL)
--- a/tests/operations/test_operations.py
+++ b/tests/operations/test_operations.py
@@ -170,6 +170,21 @@
     may_run(world.request(one))
 
 
+def test_an_own_claim_that_is_not_committed_yet_is_asked_for_again() -> None:
+    world = World()
+    one = world.proxy(ONE)
+    permissions: list[Permission] = []
+    pending = one.request("tenant", b"k", PATIENCE_US, permissions.append)
+    assert pending is not None
+    (record,) = one.table._records.values()
+    world.replies[HEAD] = world.replies[OTHER] = ClaimReply(ClaimStatus.OWNED, record.claim, 1, [HEAD, OTHER])
+    world.run(20_000)
+    assert not permissions
+    world.replies.clear()
+    world.run()
+    may_run(permissions[0])
+
+
 def test_a_head_that_takes_no_more_operations_refuses() -> None:
     world = World()
     world.replies = {HEAD: ClaimReply(ClaimStatus.FULL, None, 1, [HEAD]), OTHER: ClaimReply(3, None, 1, [HEAD])}
