Admission: no rank of tenants starves on a route

Need: the tenant's rank comes first, and a tenant must be served a quarter as often as all requests.

Cause: a share was kept for each route.

Change: a share is kept for each route and priority. Without tenants a route has one priority, so nothing changes there.

--- a/lilacsill/mesh/proxy/admission.py
+++ b/lilacsill/mesh/proxy/admission.py
@@ -8,7 +8,7 @@
 another request waits for. They must not fail because longer work fills the queue, or their callers fail too and retry:
 they displace the longest request that waits, and may wait beyond their target.
 
-Requests of a route that is starved (`served_shares`) go before all others until it has its share again.
+Requests of a kind that is starved (`served_shares`) go before all others until it has its share again.
 
 A request that can only be late is worth less than one that can be in time, and goes behind it. Otherwise the clients
 that return after an outage fill the queue, and all that come after them are late, too.
@@ -25,12 +25,12 @@
 from .duration_statistics import DurationStatistics
 from .failure_rate import FailureRate
 from .reasons import RejectionReason
-from .served_shares import ServedShares
+from .served_shares import RequestKind, ServedShares
 
 MAX_WAITING_PER_SLOT = 1.0
 PRIORITY_WEIGHT = 1.5  # each step of lower priority counts as so much longer
 LATE_WEIGHT = 2.2  # a late request counts as so much longer: it has 0.3 of its value, and 0.3 risks a second rejection
-STARVED_WEIGHT = 0.0  # of a request whose route is starved
+STARVED_WEIGHT = 0.0  # of a request whose kind is starved
 DISPLACING_SHARE = 0.5  # of the weight of the longest request that waits: a lighter one displaces it
 
 
@@ -50,6 +50,7 @@
         "priority",
         "start_by",
         "route",
+        "kind",
         "on_started",
         "on_rejected",
         "fleet_ms",
@@ -81,6 +82,7 @@
             is_late: Whether the request can only miss its latency target.
         """
         self.priority, self.start_by, self.route = priority, start_by, route
+        self.kind = RequestKind(route, priority)
         self.fleet_ms, self.is_late = fleet_ms, is_late
         self.on_started, self.on_rejected = on_started, on_rejected
         self.state = AdmissionState.NEW
@@ -116,7 +118,7 @@
         Returns:
             Why the request is rejected, in which case `on_rejected` is not called; None if it runs or waits.
         """
-        self._served_shares.record_arrival(request.route, now)
+        self._served_shares.record_arrival(request.kind, now)
         if self.running < self.slots and not self.waiting:
             self._start(request, now)
             return None
@@ -190,7 +192,7 @@
     def _start(self, request: AdmissionRequest, now: int) -> None:
         request.state, request.started_at = AdmissionState.RUNNING, now
         self.running += 1
-        self._served_shares.record_start(request.route)
+        self._served_shares.record_start(request.kind)
         request.on_started()
 
     def _enqueue(self, request: AdmissionRequest) -> None:
@@ -200,7 +202,7 @@
         heappush(self._queue, (request.weight, self._sequence, request))
 
     def _weight(self, request: AdmissionRequest) -> float:
-        if self._served_shares.is_starved(request.route):
+        if self._served_shares.is_starved(request.kind):
             return STARVED_WEIGHT
         weight = self.durations.expected_us(request.route, request.fleet_ms) * PRIORITY_WEIGHT**request.priority
         return weight * LATE_WEIGHT if request.is_late else weight
--- a/tests/rules/test_starved.py
+++ b/tests/rules/test_starved.py
@@ -10,6 +10,7 @@
 
 from lilacsill.mesh.proxy.admission import AdmissionController, AdmissionRequest
 from lilacsill.mesh.proxy.reasons import RejectionReason
+from lilacsill.mesh.proxy.tenant_check import ROUTE_PRIORITIES
 
 MS, S = 1_000, 1_000_000
 SLOTS, DAY_US = 8, 120 * S
@@ -24,6 +25,7 @@
     work_ms: int
     priority: int
     share: float  # of all requests
+    route: str = ""  # where it is not the name
 
 
 KINDS = {
@@ -46,6 +48,7 @@
         self._gap_us = mean_work_us / SLOTS / load
         self.sent = dict.fromkeys((kind.name for kind in kinds), 0)
         self.served = dict.fromkeys(self.sent, 0)
+        self._kind_of: dict[AdmissionRequest, Kind] = {}
 
     def play(self) -> None:
         self._next_arrival()
@@ -54,7 +57,7 @@
             if isinstance(event, Kind):
                 self._arrive(event)
             else:
-                self.served[event.route] += 1
+                self.served[self._kind_of[event].name] += 1
                 self._controller.finish(event, self._now, measured=True)
 
     def _push(self, at: int, event: Kind | AdmissionRequest) -> None:
@@ -69,7 +72,9 @@
     def _arrive(self, kind: Kind) -> None:
         self.sent[kind.name] += 1
         start_by = self._now + (TARGET_FACTOR - 1) * kind.work_ms * MS
-        request = AdmissionRequest(kind.priority, start_by, kind.name, lambda: self._start(request, kind), _ignore)
+        route = kind.route or kind.name
+        request = AdmissionRequest(kind.priority, start_by, route, lambda: self._start(request, kind), _ignore)
+        self._kind_of[request] = kind
         self._controller.admit(request, self._now)
         self._controller.reject_expired(self._now)
         self._next_arrival()
@@ -83,6 +88,21 @@
     """Nobody asks again."""
 
 
+def _of_tenants(urgent_share: float) -> tuple[Kind, ...]:
+    """Requests of tenants of rank 0 and 1 on two routes, and calls without a tenant (`request_priority`)."""
+    tenants = ((0, urgent_share), (1, 0.8 - urgent_share))
+    routes = (("lookup", 210, 2, 0.7), ("reserve", 270, 1, 0.3))
+    kinds = [
+        Kind(f"{route} of rank {rank}", work_ms, rank * ROUTE_PRIORITIES + priority, share * of_route, route)
+        for rank, share in tenants
+        for route, work_ms, priority, of_route in routes
+    ]
+    return (Kind("call", 53, 2, 0.2), *kinds)
+
+
+KINDS |= {"few urgent tenants": _of_tenants(0.1), "as many urgent tenants": _of_tenants(0.4)}
+
+
 @pytest.mark.parametrize("load", [1.2, 1.5, 2.0])
 @pytest.mark.parametrize("kinds", KINDS.values(), ids=KINDS)
 def test_no_kind_is_starved_by_the_others(kinds: tuple[Kind, ...], load: float) -> None:
