Proxy: a connection is read on after a long body whose request was refused while it waited

Cause: unsent was the length of the waiting body also after the refusal, so a stream that was paused above 128 KiB was never resumed.

Change: nothing is unsent of a request that is over; the rest of its body is read and dropped.

--- a/lilacsill/mesh/proxy/forwarded_request.py
+++ b/lilacsill/mesh/proxy/forwarded_request.py
@@ -110,6 +110,8 @@
     @property
     def unsent(self) -> int:
         """Bytes of the body that the other end of the exchange has not taken."""
+        if self.is_over:
+            return 0  # the rest of the body is read and dropped
         if self._body.is_waiting:
             return len(self._body.data)
         return self._exchange.unsent if self._exchange is not None else 0
