--- a/lilacsill/mesh/proxy/forwarded_request.py
+++ b/lilacsill/mesh/proxy/forwarded_request.py
@@ -72,15 +72,20 @@
         self._timer = owner.reactor.after(max(0, self._deadline - now) + TIMEOUT_MARGIN_US, self._on_timeout)
 
     def start(self) -> None:
-        """Ask for what the request needs before its first attempt."""
-        self._permits = self._owner.permits.request(self._permit_needs(), self)
+        """Ask for what the request needs before its first attempt, if there is anything."""
+        is_limited = self._tenant is not None and self._tenant.is_limited
+        operation_key = self._request.fields.get(b"operation-key") if self._route.is_keyed else None
+        if is_limited or operation_key is not None:
+            self._permits = self._owner.permits.request(self._permit_needs(is_limited, operation_key), self)
+        else:
+            self.on_permitted(None)
 
-    def _permit_needs(self) -> PermitNeeds:
+    def _permit_needs(self, is_limited: bool, operation_key: bytes | None) -> PermitNeeds:
         target_us = self._route.target_us
         return PermitNeeds(
             tenant="" if self._tenant is None else self._tenant.name,
-            is_limited=self._tenant is not None and self._tenant.is_limited,
-            operation_key=self._request.fields.get(b"operation-key") if self._route.is_keyed else None,
+            is_limited=is_limited,
+            operation_key=operation_key,
             attempt_id=attempt_id(self._request),
             target_us=target_us,
             patience_until_us=patience_until_us(self._arrived_at, target_us, self._deadline),
