--- a/lilacsill/mesh/store/node.py
+++ b/lilacsill/mesh/store/node.py
@@ -9,6 +9,7 @@
 
 from lilacsill.mesh.runtime.messages import (
     Accept,
+    Claim,
     Confirm,
     Follow,
     Heartbeat,
@@ -29,11 +30,13 @@
 from . import facts
 from .chain import Chain
 from .cluster_monitor import FaultTolerance
+from .commit_check import CommitCheck
 from .environment import Environment, Save, ignore_completion
 from .followers import Followers
 from .frontend import Frontend
 from .lease_manager import LeaseManager
 from .membership import Membership
+from .operation_claims import OperationClaims
 from .paxos import AcceptorState
 from .quotas import StoreQuotas
 from .replica import NO_VIEW, Replica
@@ -81,7 +84,9 @@
         self.lease_manager = lease_manager = LeaseManager(replica, self._on_leases_released)
         tolerance = FaultTolerance(settings.max_lost_machines, settings.max_lost_zones)
         self.membership = membership = Membership(replica, chain, lease_manager, settings.seeds, tolerance)
-        self.frontend = frontend = Frontend(replica, chain, membership.has_too_few_copies)
+        commit_check = CommitCheck(replica, membership.has_too_few_copies)
+        self.frontend = frontend = Frontend(replica, chain, commit_check)
+        self.operation_claims = claims = OperationClaims(replica, chain, commit_check, settings.timing.key_window_us)
         self.followers = followers = Followers(replica, chain, membership)
         self.quotas = StoreQuotas(replica, lease_manager, settings.timing)
         self.handlers: dict[type, Handler] = {
@@ -93,6 +98,7 @@
             Read: frontend.handle_read,
             Follow: followers.handle_follow,
             Confirm: frontend.handle_confirm,
+            Claim: claims.handle_claim,
             Prepare: lease_manager.prepare,
             Accept: lease_manager.accept,
             TokenRequest: self.quotas.owner.handle_token_request,
@@ -102,6 +108,7 @@
         """Begin to replicate and to send heartbeats."""
         self.chain.start()
         self.membership.start()
+        self.operation_claims.start()
 
     def _on_leases_released(self) -> None:
         self.membership.on_leases_released()
@@ -113,8 +120,9 @@
         self.followers.publish()
 
     def on_writable(self) -> None:
-        """Replicate the calls that wait at the head."""
+        """Replicate the calls and the claims that wait at the head."""
         self.frontend.append_waiting_calls()
+        self.operation_claims.append_waiting_claims()
 
     def on_learner_synced(self) -> None:
         """Go on to the next learner."""
