Store: calls without a fault are checked by types made of the schema

The first call has every tenant. cerberus took 0.68 s of processor time for 5,000 tenants with 20,000 keys and 13 ms for 82 with 328, where the head has 0.8 s for a call and a part of a core.

Ruled out: a second, hand-written schema, which would drift; a looser one for tenants.

call_form.py makes types of msgspec out of the schema. What they take is taken; all else goes to cerberus, which names the place. Booleans are no integers now, as the API document says.

--- a/lilacsill/mesh/store/calls.py
+++ b/lilacsill/mesh/store/calls.py
@@ -1,6 +1,6 @@
 """An operator's call, read from JSON: the changes that it names, one for each item. No I/O.
 
-cerberus is imported with the first call: only the head of the chain needs it, and it takes some megabytes.
+cerberus is imported with the first call that has a fault: it says which one, and takes some megabytes.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 
 from lilacsill.mesh.tenants.tenant import TENANT, encode_key
 
+from .call_form import has_valid_form
 from .call_schema import CALL_SCHEMA
 from .rejections import (
     ContradictoryChanges,
@@ -69,6 +70,8 @@
 def _checked(document: Any) -> Result[dict[str, Any], Rejection]:
     if not isinstance(document, dict):
         return Failure(NotAnObject())
+    if has_valid_form(document):
+        return Success(document)
     validator = _load_validator()
     if validator.validate(document, normalize=False):
         return Success(document)
@@ -78,9 +81,11 @@
 def _load_validator() -> Validator:
     global _validator
     if _validator is None:
-        from cerberus import Validator
+        from cerberus import TypeDefinition, Validator
 
-        _validator = Validator(CALL_SCHEMA)
+        # By itself cerberus takes true and false for integers.
+        types = {**Validator.types_mapping, "integer": TypeDefinition("integer", (int,), (bool,))}
+        _validator = type("CallValidator", (Validator,), {"types_mapping": types})(CALL_SCHEMA)
     return _validator
 
 
--- a/lilacsill/mesh/store/frontend.py
+++ b/lilacsill/mesh/store/frontend.py
@@ -73,7 +73,7 @@
         if not replica.is_head or not replica.complete:
             self._forwarding.forward(request, self._head, self.handle_patch, reply)
             return
-        # Imports cerberus and returns, 7 MB that only a head needs.
+        # Imports returns, which only a head needs.
         from .calls import parse_call
         from .validation import is_success
 
--- a/tests/mesh/test_tenant_calls.py
+++ b/tests/mesh/test_tenant_calls.py
@@ -136,6 +136,7 @@
         ({"RatePerS": True}, "0.RatePerS"),
         ({"Rank": -1}, "0.Rank"),
         ({"Rank": 0.5}, "0.Rank"),
+        ({"Rank": True}, "0.Rank"),
         ({"ApiKeys": ""}, "0.ApiKeys"),
         ({"ApiKeys": None}, "0.ApiKeys"),
         ({"ApiKeys": [""]}, "0.ApiKeys.0"),
--- a/tests/rules/test_defects_tenants.py
+++ b/tests/rules/test_defects_tenants.py
@@ -15,6 +15,12 @@
 
 DEFECTS = [
     broken(defects.the_schema_knows_no_tenants, calls.test_the_first_call_of_a_deployment_with_tenants_is_acknowledged),
+    broken(
+        defects.the_quick_check_takes_anything,
+        calls.test_an_invalid_tenant_is_refused_and_its_keys_are_not_shown,
+        {"RatePerS": -1},
+        "0.RatePerS",
+    ),
     broken(
         defects.keys_are_taken_by_nobody,
         calls.test_no_two_tenants_have_the_same_key,
