Test: tenants reach proxies before the routes that need them

The order of the items of one call is that in which proxies get them; a comment said so, and no test held it. Measured: tests/mesh/test_tenant_calls.py passes.

--- a/tests/mesh/test_tenant_calls.py
+++ b/tests/mesh/test_tenant_calls.py
@@ -17,6 +17,7 @@
 from lilacsill.mesh.store.digests import RANGE_COUNT
 from lilacsill.mesh.store.draft import Draft
 from lilacsill.mesh.store.rejections import KeyTaken
+from lilacsill.mesh.store.route_index import ROUTE
 from lilacsill.mesh.store.state import ConfigState
 from lilacsill.mesh.store.status import status_of
 from lilacsill.mesh.store.validation import apply_call
@@ -103,6 +104,12 @@
     assert msgspec.json.decode(reply.body) == first_call()["ReplaceItems"]
 
 
+def test_tenants_reach_proxies_before_the_routes_that_need_them() -> None:
+    state = Configuration(first_call()).state
+    kinds = [item.kind for item in state.items_since(0)]
+    assert kinds.index(ROUTE) > kinds.index(TENANT) == 0
+
+
 def test_a_read_has_the_tenants_that_stand_with_all_of_their_fields() -> None:
     noted = tenant("a", 2, "k1", Rank=0, RatePerS=0.5, BurstSize=2.5, Note={"owner": "x"})
     configuration = Configuration(tenants(noted, tenant("b", 1, "k2")))
