Quota owner: tokens are counted as of before the check of the right to grant

Need: a process that is suspended between the check of its leases and the balance would count tokens that came while another owner earned the same ones.

Change: the time is taken before the check. Ruled out: a second check, behind which a process can be suspended as well.

Result: the new test failed before (10 tokens instead of 5) and passes; 27 tests of quotas pass.

--- a/lilacsill/mesh/quota/quota_owner.py
+++ b/lilacsill/mesh/quota/quota_owner.py
@@ -101,12 +101,13 @@
 
     def handle_token_request(self, request: TokenRequest, reply: Replier) -> None:
         """Answer a proxy. What this member may not decide on gets no grant."""
+        now = self._surroundings.now()  # before the check: a process that is suspended behind it earns nothing more
         grants: list[TokenGrant] = []
         if self._surroundings.may_grant():
-            grants = [self._decide(demand) for demand in request.demands if self._owns(demand.tenant)]
+            grants = [self._decide(demand, now) for demand in request.demands if self._owns(demand.tenant)]
         reply(TokenReply(grants, self._view.number, self._view.addresses))
 
-    def _decide(self, demand: TokenDemand) -> TokenGrant:
+    def _decide(self, demand: TokenDemand, now: int) -> TokenGrant:
         limit = self._surroundings.limit_of(demand.tenant)
         if limit is None:
             self.unknown_tenants += demand.count
@@ -115,7 +116,6 @@
         if limit.is_unlimited:
             usage.granted += demand.count
             return TokenGrant(demand.tenant, demand.count, 0)
-        now = self._surroundings.now()
         bucket = self._bucket(demand.tenant, limit, now)
         granted = bucket.take(demand.count, now)
         usage.granted += granted
--- a/tests/mesh/test_quota.py
+++ b/tests/mesh/test_quota.py
@@ -67,6 +67,7 @@
     def __init__(self, view: ChainView | None = None) -> None:
         self.time = 100 * SECOND
         self.may = True
+        self.suspended_us = 0  # behind the check of the right to grant
         self.limits: dict[str, TenantLimit] = {"shop": SMALL, "open": TenantLimit(0, 7)}
         self.address = ADDRESSES[0]
         self.owner = QuotaOwner(self.address, view or ChainView(4, [self.address]), LIMITS, self)
@@ -75,6 +76,7 @@
         return self.time
 
     def may_grant(self) -> bool:
+        self.time += self.suspended_us
         return self.may
 
     def limit_of(self, tenant: str) -> TenantLimit | None:
@@ -117,6 +119,14 @@
     assert (member.owner.unknown_tenants, list(member.owner.usage)) == (3, ["open"])
 
 
+def test_a_member_that_is_suspended_behind_its_check_grants_what_was_there_before() -> None:
+    member = Member()
+    member.time += SECOND
+    member.suspended_us = 10 * SECOND
+    assert member.granted(99) == 5
+    assert member.granted(99) == int(LIMITS.capacity(SMALL))
+
+
 def test_a_lowered_limit_holds_with_the_next_demand() -> None:
     member = Member()
     member.limits["shop"] = LARGE
