--- a/lilacsill/mesh/store/metrics.py
+++ b/lilacsill/mesh/store/metrics.py
@@ -6,6 +6,7 @@
 
 from .membership import LearnerState
 from .node import Store
+from .operation_claims import ClaimCounts
 
 US_PER_S = 1_000_000
 
@@ -16,6 +17,7 @@
     _add_view(text, store, now)
     _add_replication(text, store)
     _add_quotas(text, store)
+    _add_claims(text, store.operation_claims.counts)
     return text.encode()
 
 
@@ -39,11 +41,14 @@
     replica, chain = store.replica, store.chain
     seq, committed = replica.state.seq, chain.committed
     text.gauge("complete", "1 while this replica has all that was acknowledged", replica.complete)
-    text.gauge("config_seq", "Number of the newest change on this disk", seq)
+    text.gauge("config_seq", "Number of the newest change of the configuration on this disk", replica.state.config_seq)
     lag = None if committed is None else seq - committed
     text.gauge("replication_lag", "Changes on this disk that are not known to be on all", lag)
     text.gauge("items", "Items of the configuration, with the dropped ones", len(replica.state.items))
     text.gauge("state_bytes", "Bytes of these items", replica.state.size)
+    text.gauge(
+        "operations", "Records of operations, those that run and those that have run", replica.state.operation_count
+    )
     save_age_us = replica.environment.oldest_save_age_us()
     text.gauge("oldest_save_age_seconds", "Age of the oldest write that the disk has not done", save_age_us / US_PER_S)
     rejected = store.frontend.rejected
@@ -59,3 +64,9 @@
     text.counter_by("tenant", "quota_denied", "Requests beyond the quota, by tenant", denied)
     text.gauge_by("tenant", "quota_tokens", "Tokens of the buckets that this member owns", owner.balances())
     text.counter("quota_unknown_tenants", "Requests of tenants that are not configured", owner.unknown_tenants)
+
+
+def _add_claims(text: MetricsText, counts: ClaimCounts) -> None:
+    meaning = "Claims on operations that this replica has answered, by outcome"
+    text.counter_by("outcome", "claims", meaning, counts.by_outcome())
+    text.counter("claims_replaced", "Claims that took the place of another one", counts.replaced)
--- a/lilacsill/mesh/store/status.py
+++ b/lilacsill/mesh/store/status.py
@@ -12,7 +12,7 @@
 def status_of(store: Store) -> dict[str, Any]:
     """Return the status of a replica, to be encoded as JSON."""
     replica, membership, chain = store.replica, store.membership, store.chain
-    view = replica.view
+    view, claims = replica.view, store.operation_claims.counts
     return {
         "address": replica.me.address,
         "incarnation": replica.me.incarnation,
@@ -27,9 +27,13 @@
         "leaving": membership.departure_blocker(),
         **store.lease_manager.status(),
         "seq": replica.state.seq,
+        "config_seq": replica.state.config_seq,
         "committed": chain.committed,
         "digest": f"{replica.state.digest():016x}",
         "items": len(replica.state.items),
+        "operations": replica.state.operation_count,
+        "operation_floor": replica.state.operation_floor,
+        "claims": {**claims.by_outcome(), "replaced": claims.replaced},
         "oldest_save_age_ms": replica.environment.oldest_save_age_us() // US_PER_MS,
         "peers": membership.peers(),
         "rejections": store.frontend.rejections,
