Soak: a shared deployment may lose as many core machines as less than half

Change: `LostMachines` of a shared soak is the largest number below half of its core machines, and so many disks are wiped at the end. With three core machines it is one, as before.

--- a/lilacsill/mesh/soak/soak_run.py
+++ b/lilacsill/mesh/soak/soak_run.py
@@ -96,7 +96,10 @@
         self.reactor = Reactor()
         self.is_over = False
         bounds = (*DEFAULT_BOUNDS, *self.bounds.settings()) if settings.shared else DEFAULT_BOUNDS
-        self.processes = LoopbackProcesses(self.core_ips, bounds=bounds, is_logged=True)
+        self._lost_machines = (settings.core_machines - 1) // 2 if settings.shared else 1
+        self.processes = LoopbackProcesses(
+            self.core_ips, lost_machines=self._lost_machines, bounds=bounds, is_logged=True
+        )
         self._attempts = 0
         self._supervisor = ProcessSupervisor(self.reactor, self.record, self.processes, self._restart)
         self.backends: dict[str, Backend] = {}
@@ -208,8 +211,8 @@
         for key in self.processes.known_keys():
             self.processes.kill(key)
         if self.plan.closing is ClosingFault.KILL_ALL_WIPE_ONE:
-            wiped_ip = self._rng.choice(self.core_ips)
-            shutil.rmtree(self.processes.data_folder(ProcessKey(Program.STORE, wiped_ip)))
+            for wiped_ip in self._rng.sample(self.core_ips, self._lost_machines):
+                shutil.rmtree(self.processes.data_folder(ProcessKey(Program.STORE, wiped_ip)))
         self._start_all(fresh=False)
         read: list[dict[str, dict[str, Any]]] = []
         self._operator.read_back(read.append)
