Leases of a new view are granted and requested at once

Cause: a voter grants no lease for 450 ms from a vote on, so that those that run can end. It went on with that in the new view, where the vote is over, and members asked for new leases with the next heartbeat only, 150 ms apart.

Change: the adoption of a view ends the suspension; each member asks for leases 1 ms after it, and a machine that owes a reply is asked again right after that. Safety does not rest on the suspension: a vote still waits until granted leases have ended.

--- a/lilacsill/mesh/store/heartbeats.py
+++ b/lilacsill/mesh/store/heartbeats.py
@@ -34,17 +34,27 @@
         self._chain, self._lease_manager, self._detector = chain, lease_manager, detector
         self._seeds = [seed for seed in seeds if seed != replica.me.address]
         self._awaiting_reply: set[str] = set()
+        self._due_after_reply: set[str] = set()  # machines that get another heartbeat as soon as they have replied
 
     def send(self) -> None:
         """Send a heartbeat to each known machine that owes no reply."""
-        sent_at = self._environment.now()
         heartbeat = self._heartbeat()
-        others = {*self._seeds, *self._detector.peers()} - {self._replica.me.address}
         # Sorted, so that a simulation depends on its seed alone.
-        for address in sorted(others - self._awaiting_reply):
-            self._awaiting_reply.add(address)
-            on_reply = partial(self._on_reply, address, sent_at)
-            self._environment.ask(address, heartbeat, HEARTBEAT_TIMEOUT_US, on_reply)
+        for address in sorted(self._others() - self._awaiting_reply):
+            self._send_to(address, heartbeat)
+
+    def send_state(self) -> None:
+        """Send what has just changed: a machine that owes a reply gets it right after that."""
+        self._due_after_reply = set(self._awaiting_reply)
+        self.send()
+
+    def _others(self) -> set[str]:
+        return {*self._seeds, *self._detector.peers()} - {self._replica.me.address}
+
+    def _send_to(self, address: str, heartbeat: Heartbeat) -> None:
+        self._awaiting_reply.add(address)
+        on_reply = partial(self._on_reply, address, self._environment.now())
+        self._environment.ask(address, heartbeat, HEARTBEAT_TIMEOUT_US, on_reply)
 
     def handle_heartbeat(self, heartbeat: Heartbeat, reply: Callable[[Message], None]) -> None:
         """Answer another machine, with a lease if it may have one."""
@@ -85,11 +95,15 @@
     def _on_reply(self, address: str, sent_at: int, reply: Message | None) -> None:
         self._awaiting_reply.discard(address)
         if not isinstance(reply, HeartbeatReply):
+            self._due_after_reply.discard(address)
             return
         self._detector.on_reply(reply)
         self._learn_from(reply)
         self._lease_manager.on_lease_granted(reply, sent_at)
         self._chain.resync(reply.sender.address, reply.view.number, reply.synced)
+        if address in self._due_after_reply:
+            self._due_after_reply.discard(address)
+            self._send_to(address, self._heartbeat())
 
     def _learn_from(self, message: Heartbeat | HeartbeatReply) -> None:
         self._detector.learn_peers(message)
--- a/lilacsill/mesh/store/leases.py
+++ b/lilacsill/mesh/store/leases.py
@@ -62,8 +62,12 @@
             del self._grants[holder]
 
     def clear(self) -> None:
-        """Drop all leases: a later view is in force, so those for the one before bind nobody."""
+        """Drop all leases: a later view is in force, so those for the one before bind nobody.
+
+        The vote is over with it, so leases for the new view may be granted at once.
+        """
         self._grants.clear()
+        self._suspended_until_us = 0
 
     def suspend_grants(self, now: int) -> None:
         """Grant nothing for the length of one lease, so that those that run come to an end during a vote."""
--- a/lilacsill/mesh/store/membership.py
+++ b/lilacsill/mesh/store/membership.py
@@ -23,6 +23,8 @@
 from .replica import Replica
 from .view_proposer import ViewProposer
 
+LEASE_REQUEST_DELAY_US = 1_000  # after the adoption of a view: leases requested until then are void
+
 
 class LearnerState(StrEnum):
     """How far a learner is, as `status` shows it."""
@@ -50,6 +52,7 @@
         self._heartbeats = Heartbeats(replica, chain, lease_manager, self._detector, seeds)
         self._proposer = ViewProposer(replica, self._detector, self._monitor)
         self._learners = LearnerScheduler(replica, chain, self._detector, self._monitor, tolerance)
+        replica.view_listeners.append(self._on_view_change)
 
     def start(self) -> None:
         """Begin to send heartbeats."""
@@ -65,6 +68,10 @@
 
     # Events
 
+    def _on_view_change(self) -> None:
+        """Ask for leases of the new view without waiting for the next interval."""
+        self._environment.after(LEASE_REQUEST_DELAY_US, self._heartbeats.send_state)
+
     def handle_heartbeat(self, heartbeat: Heartbeat, reply: Callable[[Message], None]) -> None:
         """Answer the heartbeat of another machine."""
         self._heartbeats.handle_heartbeat(heartbeat, reply)
--- a/tests/mesh/test_chain.py
+++ b/tests/mesh/test_chain.py
@@ -81,6 +81,24 @@
     assert done and done[0] - began < 4 * SECOND // 3 + 500 * MS, (done, began)
 
 
+# Requests that wait for a quota or an operation are refused after 138 ms at the earliest on the shared deployments.
+@pytest.mark.parametrize("position", [0, 1, 2])
+def test_a_view_change_leaves_the_members_without_leases_for_no_longer_than_requests_wait(position: int) -> None:
+    fleet, _ = begun(2)
+    time = fleet.net.time
+    members = next(iter(fleet.stores.values())).replica.view.members
+    lost = members[position].address
+    fleet.net.machines[lost].end(power=True)
+    others = [store for address, store in fleet.stores.items() if address != lost]
+    gaps = {store.replica.me.address: 0 for store in others}
+    for _ in range(3 * SECOND // MS):
+        time.run(time.now + MS)
+        for store in others:
+            if not store.lease_manager.is_valid():
+                gaps[store.replica.me.address] += MS
+    assert max(gaps.values()) < 138 * MS, gaps
+
+
 @pytest.mark.parametrize("zone", [(1, 2), (3, 4), (5,)])
 def test_where_a_zone_may_be_lost_all_core_machines_are_members(zone: tuple[int, ...]) -> None:
     fleet, operator = begun(9, cores=5, lost=0, places=1)
