Proxy: a request without a tenant waits until its configuration is certain

The items of a configuration reach a proxy in several replies, in the order of their last changes. A proxy that had routes and no tenant yet forwarded requests without a key to routes that need one. On public routes it took a key that only a newer configuration knows for none: the request ran without its `Customer`, without a token of the quota, and under another name of its operation.

Now a request without a key gets 503 until the configuration was complete once, and a key that nobody has is taken for none only where the configuration is proven current. To ask for a proof in both cases was ruled out: a proxy that was cut off for a moment would refuse all requests of a deployment without tenants.

--- a/lilacsill/mesh/proxy/active_config.py
+++ b/lilacsill/mesh/proxy/active_config.py
@@ -67,6 +67,7 @@
         limits: Limits on clients' connections and requests.
         tenants: The tenants by key.
         seq: The number of the newest change that is in force.
+        was_complete: Whether all items of one moment have been here. Until then some may be on their way.
     """
 
     def __init__(self) -> None:
@@ -77,6 +78,7 @@
         self.limits = DEFAULT_LIMITS
         self.tenants = TenantDirectory()
         self.seq = 0
+        self.was_complete = False
 
     def apply(self, items: list[Item], seq: int) -> None:
         """Put items in force, except those that are not newer than what is here.
--- a/lilacsill/mesh/proxy/discovery.py
+++ b/lilacsill/mesh/proxy/discovery.py
@@ -195,6 +195,7 @@
         if reply.freshness is None:
             return
         if self._config.seq >= reply.newest_seq:
+            self._config.was_complete = True
             self.evidence.record(reply.freshness, asked_at)
         elif not reply.items:
             self._reactor.after(MISSING_CONFIG_US, self._poll_if_behind, registry)
--- a/lilacsill/mesh/proxy/tenant_check.py
+++ b/lilacsill/mesh/proxy/tenant_check.py
@@ -34,12 +34,20 @@
     """
     key = request.fields.get(b"credential")
     tenant = None if key is None else config.tenants.find_by_key(key)
-    if tenant is not None or route.is_public:
+    if tenant is not None or _needs_no_key(config, route, key, is_config_current):
         return tenant
-    if not config.has_tenants:
-        # The items of a configuration may come one after the other: tenants may be on their way.
-        return None if key is None or is_config_current() else KeyRefusal.UNDECIDED
-    return KeyRefusal.UNKNOWN_KEY if is_config_current() else KeyRefusal.UNDECIDED
+    is_unknown = config.has_tenants and not route.is_public and is_config_current()
+    return KeyRefusal.UNKNOWN_KEY if is_unknown else KeyRefusal.UNDECIDED
+
+
+def _needs_no_key(config: ActiveConfig, route: Route, key: bytes | None, is_config_current: Callable[[], bool]) -> bool:
+    """Return whether a request may go on as that of no tenant, though `key` may be there."""
+    if config.has_tenants and not route.is_public:
+        return False
+    if key is not None:
+        return is_config_current()  # else a newer configuration may know whose key it is
+    # The items of a configuration may come one after the other: tenants may be on their way.
+    return route.is_public or config.was_complete or is_config_current()
 
 
 def request_priority(route: Route, tenant: Tenant | None, has_tenants: bool) -> int:
--- a/tests/rules/test_config.py
+++ b/tests/rules/test_config.py
@@ -62,3 +62,13 @@
         samples += len(plane.proxies)
         ready += sum(proxy.is_config_current() for proxy in plane.proxies.values())
     assert ready / samples > READY_SHARE
+
+
+def test_a_proxy_knows_that_its_configuration_was_complete(monkeypatch: pytest.MonkeyPatch) -> None:
+    plane = ControlPlane(monkeypatch)
+    plane.proxy("10.1.0.1")
+    proxy = plane.proxies["10.1.0.1"]
+    assert not proxy._config.was_complete
+    plane.begin([*plane.stores])
+    plane.run(2 * SECOND)
+    assert proxy._config.was_complete and proxy._config.seq
--- a/tests/rules/test_keys.py
+++ b/tests/rules/test_keys.py
@@ -14,6 +14,13 @@
     return [(r.fields.get(b"credential"), r.fields.get(b"customer")) for r in s.backends[name].ran]
 
 
+def drop_all_tenants(s: SharedStage) -> None:
+    for name in ("acme", "other", "limited"):
+        dropped = tenant(name, [], version=9)
+        dropped.body = None
+        s.apply(dropped)
+
+
 @pytest.mark.parametrize("key", ["unknown", "", None])
 def test_a_key_that_no_tenant_has_is_refused_where_the_configuration_is_current(key: str | None) -> None:
     with shared_stage() as s:
@@ -59,16 +66,39 @@
 def test_tenants_that_have_not_come_yet_are_waited_for() -> None:
     with shared_stage() as s:
         s.add("one")
-        for name in ("acme", "other", "limited"):
-            dropped = tenant(name, [], version=9)
-            dropped.body = None
-            s.apply(dropped)
+        drop_all_tenants(s)
         s.is_current = False
         assert s.get(s.read(1))[0] == 503
         s.is_current = True
         assert s.get(s.read(2))[0] == 200 and s.get(s.read(3, None))[0] == 200
 
 
+def test_a_request_without_a_key_waits_for_the_first_complete_configuration() -> None:
+    with shared_stage() as s:
+        one = s.add("one")
+        drop_all_tenants(s)
+        s.is_current = False
+        assert s.get(s.read(1, None))[0] == 503
+        assert not one.ran
+        assert s.get(s.read(2, None, "/open/a"))[0] == 200
+        s.forwarder.config.was_complete = True
+        assert s.get(s.read(3, None))[0] == 200
+
+
+@pytest.mark.parametrize("has_tenants", [True, False])
+def test_a_key_that_only_a_newer_configuration_may_know_is_not_taken_for_none(has_tenants: bool) -> None:
+    with shared_stage() as s:
+        one = s.add("one")
+        s.is_current, s.forwarder.config.was_complete = False, True
+        if not has_tenants:
+            drop_all_tenants(s)
+        assert s.get(s.read(1, "new", "/open/a"))[0] == 503
+        assert not one.ran
+        s.is_current = True
+        assert s.get(s.read(2, "new", "/open/a"))[0] == 200
+        assert seen_at(s, "one") == [(None, None)]
+
+
 def test_keys_are_in_no_log_line() -> None:
     with shared_stage() as s:
         one = s.add("one")
