Quota: the wait for a token of a very low rate fits into its message

The schema of operators' calls takes any rate from 0 on. At less than about 5e-17 requests a second the wait until the next token has no place in a reply, or is no finite number: the owner's callback failed, and with it the whole question, which carries the demands of all tenants that wait for this owner. So one tenant's item cost the others their tokens: 503 after their patience.

The stated wait is an hour at most now.

--- a/lilacsill/mesh/quota/token_bucket.py
+++ b/lilacsill/mesh/quota/token_bucket.py
@@ -5,6 +5,7 @@
 from math import ceil
 
 US_PER_S = 1_000_000
+MAX_WAIT_US = 3_600 * US_PER_S  # that is stated; at a very low rate a token takes longer than a message can say
 ROUNDING = 1e-9  # tokens; sums of floats may be off by so much
 
 
@@ -36,11 +37,11 @@
         return taken
 
     def time_until_token_us(self, now: int) -> int:
-        """Return how long it is until there is a complete token; 0: there is one."""
+        """Return how long it is until there is a complete token, `MAX_WAIT_US` at most; 0: there is one."""
         missing = 1.0 - self.balance(now)
         if missing <= ROUNDING:
             return 0
-        return ceil(missing * US_PER_S / self.rate)
+        return ceil(min(MAX_WAIT_US, missing * US_PER_S / self.rate))
 
     def change(self, rate: float, capacity: float, now: int) -> None:
         """Change rate and capacity from this time on. What is beyond a lower capacity is lost at once."""
--- a/tests/mesh/test_quota.py
+++ b/tests/mesh/test_quota.py
@@ -15,7 +15,7 @@
 from lilacsill.mesh.quota.quota_owner import UNKNOWN_TENANT_RETRY_MS, ChainView, QuotaOwner
 from lilacsill.mesh.quota.token_bucket import TokenBucket
 from lilacsill.mesh.runtime.core_members import CoreMembers, owner_of
-from lilacsill.mesh.runtime.messages import Item, Message, TokenReply, TokenRequest
+from lilacsill.mesh.runtime.messages import Item, Message, TokenReply, TokenRequest, decode, encode
 from lilacsill.mesh.runtime.records import TokenDemand, TokenGrant
 from lilacsill.mesh.runtime.settings import TimingBounds
 from lilacsill.mesh.simulation.network import MS, SECOND, Machine, Net
@@ -127,6 +127,18 @@
     assert member.granted(99) == int(LIMITS.capacity(SMALL))
 
 
+@pytest.mark.parametrize("rate", [1e-12, 1e-18, 5e-324])
+def test_a_tenant_of_a_very_low_rate_costs_no_other_one_its_tokens(rate: float) -> None:
+    member = Member()
+    member.limits |= {"shop": TenantLimit(rate), "yard": SMALL}
+    member.time += 3 * SECOND
+    replies: list[Message] = []
+    member.owner.handle_token_request(TokenRequest([TokenDemand("shop", 1), TokenDemand("yard", 1)]), replies.append)
+    reply = decode(encode(replies[0]))
+    assert isinstance(reply, TokenReply)
+    assert [(grant.tenant, grant.granted) for grant in reply.grants] == [("shop", 0), ("yard", 1)]
+
+
 def test_a_lowered_limit_holds_with_the_next_demand() -> None:
     member = Member()
     member.limits["shop"] = LARGE
