Proxy: an item that cannot be read keeps no other item away

A proxy that could not read one item left the rest of that reply out, and the failure showed as that of a callback. The store lets no such item pass; a store of a later version may.

Such an item is logged by its kind, name and version and counts as not there, so a tenant that cannot be read has no keys. To keep its former version was ruled out: that is what only an older configuration allows.

Seven cases of a new test; six failed before (an unknown kind did not).

--- a/lilacsill/mesh/proxy/active_config.py
+++ b/lilacsill/mesh/proxy/active_config.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lilacsill.http1.message import MAX_HEAD_BYTES
+from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import Item
 from lilacsill.mesh.tenants.directory import TenantDirectory
 from lilacsill.mesh.tenants.tenant import TENANT
@@ -14,6 +15,7 @@
 from .routes import HostRoutes, Route, parse_route
 
 DEFAULT_HEALTH_PATH = "/health"
+UNREADABLE = (msgspec.MsgspecError, LookupError, TypeError, ValueError, AttributeError)  # of the body of an item
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -92,9 +94,16 @@
             known = self._versions.get(key)
             if known is None or item.version > known:
                 self._versions[key] = item.version
-                self._apply_item(item)
+                self._try_item(item)
         self.seq = max(self.seq, seq)
 
+    def _try_item(self, item: Item) -> None:
+        """Put one item in force. One that cannot be read, as of a later version, is not there; others still come."""
+        try:
+            self._apply_item(item)
+        except UNREADABLE as error:
+            log.warning("%s %s r%d cannot be read: %s", item.kind, item.name, item.version, type(error).__name__)
+
     def _apply_item(self, item: Item) -> None:
         if item.kind == "route":
             self._apply_route(item)
--- a/tests/rules/test_config.py
+++ b/tests/rules/test_config.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lilacsill.mesh.proxy.active_config import ActiveConfig
+from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import Item
 from lilacsill.mesh.simulation.network import MS, SECOND
 from tests.control.control_plane import ControlPlane
@@ -35,6 +36,25 @@
     assert is_served(config)
 
 
+@pytest.mark.parametrize(
+    ("kind", "body"),
+    [
+        ("tenant", b'{"Name":"a","Keys":[]}'),
+        ("tenant", b'{"Name":"a","ApiKeys":["secret"],"Rank":"high"}'),
+        ("route", b'{"Host":"h.example","Rule":{"RouteKind":"read_only"}}'),
+        ("route", b'{"Host":5,"Rule":[]}'),
+        ("service", b"[]"),
+        ("limits", b'{"MaxBodyBytes":{}}'),
+        ("mirror", b"{}"),
+    ],
+)
+def test_an_item_that_cannot_be_read_keeps_no_other_one_away(kind: str, body: bytes) -> None:
+    config = ActiveConfig()
+    config.apply([Item(kind, "a", 1, 1, body), route(2)], 2)
+    assert is_served(config) and config.seq == 2
+    assert not any("secret" in line for line in log.tail())
+
+
 def test_a_request_in_flight_outlives_its_route() -> None:
     with stage() as s:
         backend = s.add("one")
