Tenants: a name that no header field can carry gets no keys

The schema of operators' calls takes any text as a tenant's name. With a line break in it, the name ended the `Customer` field that a backend gets and began another one of the name's choice; a NUL made the backend's parser refuse all.

Such a tenant now counts as one that cannot be read: it is logged, its keys are unknown, and everything else comes into force. A pattern in the schema was ruled out: it would refuse the whole first call for one name.

A name in UTF-8 still goes through, which the same test shows.

--- a/lilacsill/mesh/tenants/tenant.py
+++ b/lilacsill/mesh/tenants/tenant.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 
 from lilacsill.mesh.runtime.messages import Item
@@ -11,6 +13,7 @@
 
 DEFAULT_RANK = 1  # as of a route without a rank
 UNLIMITED = 0.0
+_CONTROL_CHARACTER = re.compile("[\x00-\x08\x0a-\x1f\x7f]")  # those of RFC 9110, 5.5; a tab is allowed
 
 
 class Tenant(msgspec.Struct, frozen=True):
@@ -45,9 +48,19 @@
 _keys_decoder = msgspec.json.Decoder(_Keys)
 
 
+class InvalidTenantName(ValueError):
+    """A tenant's name has characters that no header field can carry, so no backend could be told it."""
+
+
 def parse_tenant(item: Item) -> Tenant:
-    """Read the tenant out of an item that the store has validated."""
+    """Read the tenant out of an item that the store has validated.
+
+    Raises:
+        InvalidTenantName: A line break in a name would end the header field and begin another one.
+    """
     assert item.body is not None
+    if _CONTROL_CHARACTER.search(item.name):
+        raise InvalidTenantName
     body = _body_decoder.decode(item.body)
     return Tenant(item.name, body.rank, body.rate_per_s, body.burst_size)
 
--- a/tests/rules/test_keys.py
+++ b/tests/rules/test_keys.py
@@ -99,6 +99,17 @@
         assert seen_at(s, "one") == [(None, None)]
 
 
+@pytest.mark.parametrize("name", ["a\r\nCustomer: acme", "a\nb", "a\x00"])
+def test_a_tenant_whose_name_no_header_can_carry_has_no_keys(name: str) -> None:
+    with shared_stage() as s:
+        one = s.add("one")
+        s.apply(tenant(name, ["key"]), tenant("M\u00fcller", ["other key"]))
+        assert s.get(s.read(1, "key"))[0] == 401
+        assert s.get(s.read(2, "other key"))[0] == 200
+        assert seen_at(s, "one") == [(None, "M\u00fcller".encode())]
+        assert len(one.ran) == 1
+
+
 def test_keys_are_in_no_log_line() -> None:
     with shared_stage() as s:
         one = s.add("one")
