Proxy: at the end of the grace period, what waits for permits is refused

A request that waited for a token or for the claim of its operation when the process ended got 504, as if a backend might have run it. No backend had it, so 503 says more: the client may send it elsewhere at once. It does not count as broken off any more either. The claim is released, as on a refusal.

Two cases of a new test; both failed before (504).

--- a/lilacsill/mesh/proxy/forwarded_request.py
+++ b/lilacsill/mesh/proxy/forwarded_request.py
@@ -147,7 +147,10 @@
         return attempt_id(self._request).decode("latin-1")
 
     def break_off(self) -> None:
-        """Answer at once, since the process ends. The request may have run."""
+        """Answer at once, since the process ends. The request may have run, unless it waits for its permits."""
+        if self._permits is not None and not self._permits.is_over:
+            self._refuse_unless_suspects()
+            return
         self._owner.counters.broken_off += 1
         log.info("%s broken off after %d attempts", self._attempt_id, self._history.arrivals)
         self._on_timeout()
--- a/tests/rules/test_quota_waits.py
+++ b/tests/rules/test_quota_waits.py
@@ -67,6 +67,22 @@
         assert not one.ran
 
 
+@pytest.mark.parametrize("kind", ["limited read", "keyed write"])
+def test_a_request_that_waits_while_its_proxy_ends_is_refused_and_runs_nothing(kind: str) -> None:
+    with shared_stage() as s:
+        one, s.store.tokens, s.store.reply_delay_us = s.add("one"), 1, 30_000
+        forwarder = s.fronts[0].forwarder
+        client = s.connect(s.read(1, LIMITED_KEY) if kind == "limited read" else s.keyed(1))
+        s.until(lambda: bool(forwarder.in_flight), "the request waits")
+        for waiting in list(forwarder.in_flight):
+            waiting.break_off()
+        s.until(lambda: bool(client.answers), "there is a response")
+        assert client.answers[0].status == 503 and not forwarder.counters.broken_off
+        s.settle()
+        s.settle()
+        assert not one.ran
+
+
 @pytest.mark.parametrize("first", ["limited read", "keyed write"])
 def test_requests_behind_one_that_waits_are_answered_in_their_order(first: str) -> None:
     with shared_stage() as s:
