Messages: a proxy may ask another one to ask a core machine (Relay, RelayReply)

A proxy that is cut off from all core machines gets neither tokens nor claims, although other proxies would reach them. `Relay` carries a TokenRequest or a Claim to another proxy; `RelayReply` brings the answer, or says that the request was not sent, so that it can go through a third one. An encoded message inside the frame was ruled out: the typed form is checked with the frame that carries it.

--- a/lilacsill/mesh/runtime/messages/__init__.py
+++ b/lilacsill/mesh/runtime/messages/__init__.py
@@ -49,6 +49,8 @@
     OperationQuery,
     OperationReply,
     OperationState,
+    Relay,
+    RelayReply,
     TokenReply,
     TokenRequest,
 )
@@ -94,6 +96,8 @@
     | ClaimReply
     | OperationQuery
     | OperationReply
+    | Relay
+    | RelayReply
 )
 
 BadMessage = msgspec.DecodeError
@@ -161,6 +165,8 @@
     "Promise",
     "Read",
     "Rejected",
+    "Relay",
+    "RelayReply",
     "Replicate",
     "ReplicateReply",
     "Reply",
--- a/lilacsill/mesh/runtime/messages/shared_state.py
+++ b/lilacsill/mesh/runtime/messages/shared_state.py
@@ -72,3 +72,18 @@
 
     state: str  # an `OperationState`
     response: StoredResponse | None  # with ANSWERED
+
+
+class Relay(Message):
+    """A proxy that cannot reach a core machine has another proxy ask it. Who relays asks once, directly."""
+
+    address: str  # control address of the member of the store
+    request: TokenRequest | Claim
+    timeout_ms: int  # how long the relaying proxy waits for the answer
+
+
+class RelayReply(Message):
+    """The answer to `Relay`."""
+
+    is_sent: bool  # False: the request has not been sent, and may be relayed by another proxy
+    reply: TokenReply | ClaimReply | None  # None: the member did not answer the relaying proxy
