--- a/lilacsill/mesh/runtime/core_members.py
+++ b/lilacsill/mesh/runtime/core_members.py
@@ -43,12 +43,19 @@
 
     def any_candidate(self) -> str | None:
         """Return core machines in turn, whatever their place; None: none is known."""
-        candidates = sorted({*self._candidates(), *self.addresses})
+        candidates = sorted(self._all())
         if not candidates:
             return None
         self._next += 1
         return candidates[self._next % len(candidates)]
 
+    def knows(self, address: str) -> bool:
+        """Return whether this is the control address of a known core machine."""
+        return address in self._all()
+
+    def _all(self) -> set[str]:
+        return {*self._candidates(), *self.addresses}
+
 
 def owner_of(key: str, addresses: Collection[str]) -> str | None:
     """Return which of these members of the chain owns a key; None where there are none."""
