Proxy: tokens and claims come through another proxy while core machines do not answer

A proxy that is cut off from all core machines, but not from other proxies, refused all requests of limited tenants and all keyed writes with 503. Its questions now take the relayed way, and the listener for other proxies answers `Relay`.

--- a/lilacsill/mesh/proxy/metrics.py
+++ b/lilacsill/mesh/proxy/metrics.py
@@ -9,15 +9,22 @@
 from .discovery import DiscoveryClient
 from .failure_detector import FailureDetector
 from .forwarder import Forwarder
+from .shared_state import SharedState
 
 
 def encode_metrics(
-    forwarder: Forwarder, gateway: BackendGateway, discovery: DiscoveryClient, detector: FailureDetector, now: int
+    forwarder: Forwarder,
+    gateway: BackendGateway,
+    discovery: DiscoveryClient,
+    detector: FailureDetector,
+    shared_state: SharedState,
+    now: int,
 ) -> bytes:
     """Return the figures of the moment `now`, in microseconds, as text."""
     text = MetricsText()
     _add_requests(text, forwarder)
     _add_operations(text, forwarder.permits.operations)
+    _add_relays(text, shared_state)
     _add_backend(text, gateway, now)
     _add_configuration(text, forwarder, discovery, now)
     text.gauge("suspected_proxies", "Other proxies that this one cannot reach", len(detector.suspects))
@@ -49,6 +56,16 @@
     text.counter("operations_replayed", "Repeats that got a stored response", operations.replays)
 
 
+def _add_relays(text: MetricsText, shared_state: SharedState) -> None:
+    counters = shared_state.relay_counters
+    unreachable = len(shared_state.unreachable)
+    text.gauge("core_machines_unreachable", "Core machines that do not answer this proxy", unreachable)
+    text.counter("questions_relayed", "Questions that were answered through another proxy", counters.answered)
+    text.counter("relays_unanswered", "Questions that other proxies brought no answer to", counters.unanswered)
+    text.counter("relays_served", "Questions of other proxies sent to core machines", counters.served)
+    text.counter("relays_refused", "Questions of other proxies that were not sent", counters.refused)
+
+
 def _add_backend(text: MetricsText, gateway: BackendGateway, now: int) -> None:
     admission, pool = gateway.admission, gateway.pool
     text.gauge("backend_slots", "Requests that the backend works on at once", admission.slots)
--- a/lilacsill/mesh/proxy/offer_server.py
+++ b/lilacsill/mesh/proxy/offer_server.py
@@ -21,6 +21,7 @@
     OperationQuery,
     OperationReply,
     Ping,
+    Relay,
     Response,
     Status,
     StatusReply,
@@ -46,6 +47,9 @@
     def indirect_ping(self, request: IndirectPing, reply: Callable[[Message], None]) -> None:
         """Ping a third proxy for another one, and reply whether it answered."""
 
+    def relay(self, relay: Relay, reply: Callable[[Message], None]) -> None:
+        """Ask a core machine for another proxy, and reply what it answered."""
+
 
 class OfferLink:
     """One link from another proxy. An exchange has the link to itself while it lasts."""
@@ -85,6 +89,8 @@
             self._queries.indirect_ping(message, partial(self._reply, number))
         elif isinstance(message, OperationQuery):
             link.send(self._queries.operation(message), number)
+        elif isinstance(message, Relay):
+            self._queries.relay(message, partial(self._reply, number))
         else:
             link.close()
 
--- a/lilacsill/mesh/proxy/process.py
+++ b/lilacsill/mesh/proxy/process.py
@@ -12,7 +12,7 @@
 from lilacsill.http1.message import Message as Request
 from lilacsill.mesh.runtime.control import ControlServer, Respond
 from lilacsill.mesh.runtime.log_ring import log
-from lilacsill.mesh.runtime.messages import IndirectPing, Message, OperationQuery, OperationReply
+from lilacsill.mesh.runtime.messages import IndirectPing, Message, OperationQuery, OperationReply, Relay
 from lilacsill.mesh.runtime.metrics_server import PROXY_PORT, MetricsServer
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.runtime.rpc import OnReply, RpcClientPool
@@ -64,7 +64,10 @@
             reactor, self._config, upstreams, settings.service, rng, self._discovery.is_config_current
         )
         self._shared_state = SharedState(
-            settings, ReactorEnvironment(reactor), lambda: self._discovery.registries.addresses
+            settings,
+            ReactorEnvironment(reactor),
+            lambda: self._discovery.registries.addresses,
+            self._endpoints.peers,
         )
         self._forwarder.permits.quota = self._shared_state.quota
         self._forwarder.permits.operations = self._shared_state.operations
@@ -149,6 +152,7 @@
             self._gateway,
             self._discovery,
             self._failure_detector,
+            self._shared_state,
             self._reactor.now(),
         )
         return msgspec.json.encode(report)
@@ -157,7 +161,9 @@
         from .metrics import encode_metrics  # the library need not be in memory where nobody fetches metrics
 
         now = self._reactor.now()
-        return encode_metrics(self._forwarder, self._gateway, self._discovery, self._failure_detector, now)
+        return encode_metrics(
+            self._forwarder, self._gateway, self._discovery, self._failure_detector, self._shared_state, now
+        )
 
     def operation(self, query: OperationQuery) -> OperationReply:
         """Tell another proxy what became of an operation of this one."""
@@ -167,6 +173,10 @@
         """Ping a third proxy for another one, and reply whether it answered."""
         self._failure_detector.indirect_ping(request, reply)
 
+    def relay(self, relay: Relay, reply: Callable[[Message], None]) -> None:
+        """Ask a core machine for another proxy, and reply what it answered."""
+        self._shared_state.relay_server.relay(relay, reply)
+
 
 class ReactorEnvironment:
     """The clock, the timers and the links that decisions use in a real process."""
--- a/lilacsill/mesh/proxy/shared_state.py
+++ b/lilacsill/mesh/proxy/shared_state.py
@@ -4,23 +4,22 @@
 
 import os
 from collections.abc import Callable, Collection
-from typing import Protocol
 
 from lilacsill.address import parse_address
-from lilacsill.mesh.operations.claim_client import ClaimEnvironment
 from lilacsill.mesh.operations.operation_gate import OperationGate
 from lilacsill.mesh.operations.operation_table import OperationTable
-from lilacsill.mesh.quota.environment import Environment
 from lilacsill.mesh.quota.quota_client import QuotaClient
+from lilacsill.mesh.relaying.core_links import CoreLinks
+from lilacsill.mesh.relaying.counters import RelayCounters
+from lilacsill.mesh.relaying.environment import Environment
+from lilacsill.mesh.relaying.relay_selector import RelaySelector
+from lilacsill.mesh.relaying.relay_server import RelayServer
+from lilacsill.mesh.relaying.relayed_links import RelayedLinks
 from lilacsill.mesh.runtime.core_members import CoreMembers
 from lilacsill.mesh.runtime.incarnation import INCARNATION_ID_BYTES, incarnation_id
 from lilacsill.mesh.runtime.settings import Settings
 
 
-class SharedStateEnvironment(ClaimEnvironment, Environment, Protocol):
-    """The clock, the timers and the links of the process."""
-
-
 class SharedState:
     """This proxy's part of it.
 
@@ -28,10 +27,17 @@
         members: The members of the store, as their answers name them.
         quota: Asks them for tokens of tenants' quotas.
         operations: Asks them for the right to run operations, and answers for those that it has.
+        core_links: The direct way to them.
+        relay_server: Asks them for other proxies.
+        relay_counters: Count what was relayed.
     """
 
     def __init__(
-        self, settings: Settings, environment: SharedStateEnvironment, registries: Callable[[], Collection[str]]
+        self,
+        settings: Settings,
+        environment: Environment,
+        registries: Callable[[], Collection[str]],
+        peers: Callable[[], dict[str, str]],
     ) -> None:
         """Begin without knowledge of either.
 
@@ -39,6 +45,7 @@
             settings: Of the process.
             environment: Its clock, timers and links.
             registries: Returns the addresses of the known registries; a member of the store is beside each.
+            peers: Returns the addresses of the other proxies by name; another dict whenever they have changed.
         """
 
         def candidates() -> list[str]:
@@ -48,5 +55,15 @@
         incarnation = incarnation_id(os.urandom(INCARNATION_ID_BYTES))
         table = OperationTable(own_address, incarnation, settings.timing.key_window_us)
         self.members = CoreMembers(candidates)
-        self.quota = QuotaClient(environment, self.members)
-        self.operations = OperationGate(table, environment, self.members)
+        self.core_links = CoreLinks(environment)
+        self.relay_counters = RelayCounters()
+        self.relay_server = RelayServer(self.core_links, self.members, self.relay_counters)
+        selector = RelaySelector(settings.node_name, peers)
+        links = RelayedLinks(environment, self.core_links, selector, self.relay_counters)
+        self.quota = QuotaClient(links, self.members)
+        self.operations = OperationGate(table, links, self.members)
+
+    @property
+    def unreachable(self) -> list[str]:
+        """The known core machines that do not answer this proxy."""
+        return [address for address in self.core_links.reachability.unreachable if self.members.knows(address)]
--- a/lilacsill/mesh/proxy/status_report.py
+++ b/lilacsill/mesh/proxy/status_report.py
@@ -13,6 +13,7 @@
 from .endpoint_table import EndpointLoad
 from .failure_detector import FailureDetector
 from .forwarder import Forwarder
+from .shared_state import SharedState
 
 
 class BackendStatus(msgspec.Struct):
@@ -52,6 +53,16 @@
     replayed: int  # repeats that got a stored response
 
 
+class RelaysStatus(msgspec.Struct):
+    """Questions to core machines that went through other proxies, since the start."""
+
+    unreachable: list[str]  # the core machines that do not answer this proxy
+    answered: int  # own questions whose answer came through another proxy
+    unanswered: int
+    served: int  # questions of other proxies
+    refused: int
+
+
 class ProxyStatus(msgspec.Struct):
     """The whole report."""
 
@@ -69,6 +80,7 @@
     tables: dict[str, list[EndpointStatus]]  # by service
     refusals: dict[str, int]  # requests that got no attempt, by `RefusalReason`
     operations: OperationsStatus | None
+    relays: RelaysStatus
     log: list[str]
 
 
@@ -79,6 +91,7 @@
     gateway: BackendGateway,
     discovery: DiscoveryClient,
     failure_detector: FailureDetector,
+    shared_state: SharedState,
     now: int,
 ) -> ProxyStatus:
     """Return the status as of now."""
@@ -100,6 +113,7 @@
         },
         refusals=dict(forwarder.counters.refusals),
         operations=_operations_status(forwarder.permits.operations),
+        relays=_relays_status(shared_state),
         log=log.tail(),
     )
 
@@ -111,6 +125,17 @@
     return OperationsStatus(table.count_states(), table.stored_bytes, operations.replays)
 
 
+def _relays_status(shared_state: SharedState) -> RelaysStatus:
+    counters = shared_state.relay_counters
+    return RelaysStatus(
+        unreachable=shared_state.unreachable,
+        answered=counters.answered,
+        unanswered=counters.unanswered,
+        served=counters.served,
+        refused=counters.refused,
+    )
+
+
 def _backend_status(gateway: BackendGateway) -> BackendStatus:
     lifecycle, pool = gateway.lifecycle, gateway.pool
     return BackendStatus(
--- a/tests/mesh/proxy/test_status_report.py
+++ b/tests/mesh/proxy/test_status_report.py
@@ -44,6 +44,7 @@
         "tables",
         "refusals",
         "operations",
+        "relays",
         "log",
     ]
 
--- a/tests/mesh/shared_stage.py
+++ b/tests/mesh/shared_stage.py
@@ -16,20 +16,27 @@
 from lilacsill.mesh.proxy.offer_server import OfferServer
 from lilacsill.mesh.proxy.process import ReactorEnvironment
 from lilacsill.mesh.quota.quota_client import QuotaClient
+from lilacsill.mesh.relaying.core_links import CoreLinks
+from lilacsill.mesh.relaying.counters import RelayCounters
+from lilacsill.mesh.relaying.relay_selector import RelaySelector
+from lilacsill.mesh.relaying.relay_server import RelayServer
+from lilacsill.mesh.relaying.relayed_links import RelayedLinks
 from lilacsill.mesh.runtime.core_members import CoreMembers
 from lilacsill.mesh.runtime.messages import (
     Claim,
     ClaimReply,
     ClaimStatus,
     Item,
+    Message,
     OperationQuery,
     OperationReply,
+    Relay,
     TokenReply,
     TokenRequest,
 )
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.runtime.records import OperationOwner, TokenGrant
-from lilacsill.mesh.runtime.rpc import RequestHandler, RpcServer, SendReply
+from lilacsill.mesh.runtime.rpc import OnReply, RequestHandler, RpcServer, SendReply
 from lilacsill.net import reactor as watchers
 
 from .stage import LOOPBACK, Client, NoQueries, Stage, request
@@ -79,24 +86,48 @@
             self._reactor.after(self.reply_delay_us, reply, message)
 
 
+class PartitionedEnvironment(ReactorEnvironment):
+    """The links of a process; questions to some addresses get no answer."""
+
+    def __init__(self, reactor: Reactor) -> None:
+        super().__init__(reactor)
+        self.partitioned: set[str] = set()
+
+    def ask(self, address: str, message: Message, timeout_us: int, answered: OnReply) -> None:
+        if address in self.partitioned:
+            self.after(timeout_us, answered, None)
+        else:
+            super().ask(address, message, timeout_us, answered)
+
+
 class Front(NoQueries):
     """A proxy for clients, which other proxies can ask about its operations."""
 
     def __init__(self, stage: SharedStage, incarnation: int) -> None:
         reactor, near = stage.reactor, stage.forwarder
-        environment = ReactorEnvironment(reactor)
+        self.environment = PartitionedEnvironment(reactor)
         members = CoreMembers(lambda: [stage.store.address])
         self.offer_server = OfferServer(reactor, Address(LOOPBACK, 0), stage.near_gateway, self)
         own_address = f"{LOOPBACK}:{self.offer_server.listener.port}"
-        self.operations = OperationGate(OperationTable(own_address, incarnation, KEY_WINDOW_US), environment, members)
+        node = f"front{incarnation}"
+        stage.front_addresses = {**stage.front_addresses, node: own_address}
+        self.core_links = CoreLinks(self.environment)
+        self.relay_counters = RelayCounters()
+        self.relay_server = RelayServer(self.core_links, members, self.relay_counters)
+        selector = RelaySelector(node, lambda: stage.front_addresses)
+        links = RelayedLinks(self.environment, self.core_links, selector, self.relay_counters)
+        self.operations = OperationGate(OperationTable(own_address, incarnation, KEY_WINDOW_US), links, members)
         self.forwarder = Forwarder(reactor, near.config, near.upstreams, "desk", near.rng, lambda: stage.is_current)
         self.forwarder.permits.operations = self.operations
-        self.forwarder.permits.quota = QuotaClient(environment, members)
+        self.forwarder.permits.quota = QuotaClient(links, members)
         self.clients = ClientListener(reactor, Address(LOOPBACK, 0), self.forwarder)
 
     def operation(self, query: OperationQuery) -> OperationReply:
         return self.operations.reply_to(query)
 
+    def relay(self, relay: Relay, reply: SendReply) -> None:
+        self.relay_server.relay(relay, reply)
+
     def kill(self) -> None:
         """Nobody reaches it any more."""
         self.offer_server.close()
@@ -112,6 +143,7 @@
         self.is_current = True
         self.near_gateway = self.forwarder.upstreams._gateway
         self.store = StoreMember(reactor)
+        self.front_addresses: dict[str, str] = {}
         self.fronts = [Front(self, 1), Front(self, 2)]
         public = msgspec.json.decode(self.route("open", "read_only", 4).body or b"")
         public["Rule"]["Public"] = True
@@ -127,6 +159,14 @@
         """A change of the configuration reaches all proxies."""
         self.forwarder.config.apply(list(items), self.forwarder.config.seq + 1)
 
+    def partition(self, front: int) -> None:
+        """A front does not reach the store any more, and has found that out."""
+        cut_off = self.fronts[front]
+        cut_off.environment.partitioned.add(self.store.address)
+        cut_off.core_links.ask(self.store.address, TokenRequest([]), 1, lambda _reply: None)
+        reachability = cut_off.core_links.reachability
+        self.until(lambda: not reachability.is_reachable(self.store.address), "the store is unreachable")
+
     def connect(self, data: bytes, front: int = 0) -> Client:
         client = Client()
         sock = socket.create_connection((LOOPBACK, self.fronts[front].clients.listener.port))
--- a/tests/mesh/stage.py
+++ b/tests/mesh/stage.py
@@ -24,7 +24,7 @@
 from lilacsill.mesh.proxy.upstreams import Upstreams
 from lilacsill.mesh.proxy.active_config import ActiveConfig
 from lilacsill.mesh.runtime.link import Listener
-from lilacsill.mesh.runtime.messages import Endpoint, IndirectPing, Item, OperationQuery, OperationReply
+from lilacsill.mesh.runtime.messages import Endpoint, IndirectPing, Item, OperationQuery, OperationReply, Relay
 from lilacsill.mesh.runtime.messages import Message as MeshMessage
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.net import reactor as watchers
@@ -226,6 +226,9 @@
     def indirect_ping(self, request: IndirectPing, reply: Callable[[MeshMessage], None]) -> None:
         raise AssertionError("nobody asks for a ping")
 
+    def relay(self, relay: Relay, reply: Callable[[MeshMessage], None]) -> None:
+        raise AssertionError("nobody asks for a relay")
+
 
 class Stage:
     """One route at h.example: /reads/ and /writes/, to the service `stock`; proxies beside the backends by name."""
