Tests: no form of a request shows a backend the key or another tenant

Until now one spelling of a forged `Customer` and of a second `Credential` was tried, on a read. The new test goes through repeated fields, odd case, fields that `Connection` names, trailers, and bodies that are forwarded while they come.

--- a/tests/rules/test_keys.py
+++ b/tests/rules/test_keys.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from lilacsill.http1.message import encode_chunk
 from lilacsill.mesh.proxy.tenant_check import request_priority
 from lilacsill.mesh.runtime.log_ring import log
+from tests.mesh.stage import request
 from tests.mesh.shared_stage import ACME_KEY, OTHER_KEY, SharedStage, shared_stage, tenant
 
 
@@ -51,6 +53,34 @@
         assert not any(ACME_KEY.encode() in value or value in (b"forged", b"another") for _, value in lines)
 
 
+@pytest.mark.parametrize("framing", ["length", "chunks and trailers", "a long body"])
+@pytest.mark.parametrize(
+    "more",
+    [
+        "CUSTOMER: forged\r\ncustomer: forged\r\n",
+        "Connection: keep-alive\r\nConnection: customer\r\nCustomer:\tforged\r\n",
+        "Connection: Credential, Customer, Calling-Service\r\n",
+        f"cReDeNtIaL: {OTHER_KEY}\r\n",
+    ],
+)
+def test_no_form_of_a_request_shows_the_key_or_names_another_tenant(framing: str, more: str) -> None:
+    body = bytes(200_000 if framing == "a long body" else 3)
+    if framing == "length":
+        data = request("POST", "/writes/a", 1, body, f"Credential: {ACME_KEY}\r\n{more}")
+    else:
+        head = f"Credential: {ACME_KEY}\r\n{more}Transfer-Encoding: chunked\r\n"
+        trailers = f"0\r\nCustomer: forged\r\nCredential: {ACME_KEY}\r\n\r\n"
+        data = request("POST", "/writes/a", 1, more=head) + encode_chunk(body) + trailers.encode()
+    with shared_stage() as s:
+        one = s.add("one")
+        assert s.get(data)[0] == 200
+        lines = one.ran[0].header_lines or []
+        assert [value for name, value in lines if name.lower() == b"customer"] == [b"acme"]
+        assert not any(
+            text in value for _, value in lines for text in (ACME_KEY.encode(), OTHER_KEY.encode(), b"forged")
+        )
+
+
 def test_a_key_that_was_taken_away_ends_with_the_next_request_of_an_open_connection() -> None:
     with shared_stage() as s:
         one = s.add("one")
