Tests: schedules in which claims arrive late, twice and out of their order

In the schedules of operations only answers were late: a question took one hop. A claim that was on its way while its operation was released and replaced, one that arrived twice, and the answer of a head that has lost its place were left to the model of the store, which knows no proxies' tables.

The new schedules deliver questions up to 45 s late, some of them twice, and let one member answer from an outdated state. Of four planted defects three are found; the surrender of claims is not, and stays with the former schedules.

--- a/tests/operations/test_schedules.py
+++ b/tests/operations/test_schedules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 
 import pytest
@@ -9,11 +10,12 @@
 from lilacsill.mesh.operations import operation_table
 from lilacsill.mesh.operations.operation_gate import OperationRun, PendingPermission, Permission
 from lilacsill.mesh.operations.operation_table import RETENTION_MARGIN_US, OperationRecord, OperationTable
-from lilacsill.mesh.runtime.messages import Claim, ClaimReply
-from lilacsill.mesh.runtime.records import StoredResponse
+from lilacsill.mesh.runtime.messages import Claim, ClaimReply, ClaimStatus, Message
+from lilacsill.mesh.runtime.records import OperationOwner, StoredResponse
+from lilacsill.mesh.store.replies import once
 from tests.planted_defects import Plant
 
-from .world import HEAD, KEY_WINDOW_US, OTHER, PATIENCE_US, World
+from .world import HEAD, HOP_US, KEY_WINDOW_US, OTHER, PATIENCE_US, World
 
 PROXIES = [f"10.1.0.{number}:7000" for number in (1, 2, 3)]
 KEYS = [b"a", b"b", b"c"]
@@ -88,8 +90,48 @@
             self.after(50_000, run.record_unknown)
 
 
-def check(seed: int) -> None:
-    world = FaultyWorld(seed)
+class DelayingWorld(FaultyWorld):
+    """Questions are on their way for long, overtake each other and arrive twice; a head that lost its place answers."""
+
+    def __init__(self, seed: int) -> None:
+        self._outdated: dict[str, OperationOwner] = {}
+        super().__init__(seed)
+
+    def ask(self, address: str, message: Message, timeout_us: int, answered: Callable[[Message | None], None]) -> None:
+        rng = self.rng
+        answer_once = once(answered)
+
+        def arrive() -> None:
+            if address not in self.lost:
+                delay_us = rng.choice((self.reply_delay_us.get(address, HOP_US),) * 8 + (500_000, 3_000_000))
+                self.after(delay_us, answer_once, self._reply(address, message))
+
+        self.after(timeout_us, answer_once, None)
+        delay_us = rng.choice((HOP_US,) * 6 + (150_000, 2_000_000, 6_000_000, 25_000_000))
+        self.after(delay_us, arrive)
+        if rng.random() < 0.2:
+            self.after(delay_us + rng.choice((1_000, 4_000_000, 20_000_000)), arrive)
+
+    def _reply(self, address: str, message: Message) -> Message:
+        if isinstance(message, Claim) and address == OTHER:
+            owner = self._outdated.get(message.operation, message.owner)
+            if owner != message.owner:
+                return ClaimReply(ClaimStatus.OWNED, owner, 0, [OTHER, HEAD])
+        return super()._reply(address, message)
+
+    def step(self) -> None:
+        if self.rng.random() < 0.05:
+            self._outdated = dict(self.owners)
+        super().step()
+
+
+@pytest.mark.parametrize("seed", range(SCHEDULES))
+def test_no_operation_runs_twice_however_late_questions_arrive(seed: int) -> None:
+    check(seed, DelayingWorld)
+
+
+def check(seed: int, kind: type[FaultyWorld] = FaultyWorld) -> None:
+    world = kind(seed)
     for _ in range(STEPS):
         world.step()
     for times in world.ran_at.values():
@@ -137,10 +179,21 @@
 
 
 @pytest.mark.parametrize(
-    "defect", [nobody_surrenders, unknown_is_released, claims_have_no_end, runs_of_a_proxy_are_one]
+    ("defect", "kind"),
+    [
+        (nobody_surrenders, FaultyWorld),
+        (unknown_is_released, FaultyWorld),
+        (claims_have_no_end, FaultyWorld),
+        (runs_of_a_proxy_are_one, FaultyWorld),
+        (unknown_is_released, DelayingWorld),
+        (claims_have_no_end, DelayingWorld),
+        (runs_of_a_proxy_are_one, DelayingWorld),
+    ],
 )
-def test_a_schedule_finds_a_planted_defect(defect: Plant, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_schedule_finds_a_planted_defect(
+    defect: Plant, kind: type[FaultyWorld], monkeypatch: pytest.MonkeyPatch
+) -> None:
     defect(monkeypatch)
     with pytest.raises(AssertionError):
         for seed in range(SCHEDULES):
-            check(seed)
+            check(seed, kind)
