--- a/lilacsill/mesh/proxy/offer_server.py
+++ b/lilacsill/mesh/proxy/offer_server.py
@@ -18,7 +18,10 @@
     IndirectPingReply,
     Message,
     Offer,
+    OperationQuery,
+    OperationReply,
     Ping,
+    Relay,
     Response,
     Status,
     StatusReply,
@@ -38,9 +41,15 @@
     def status(self) -> bytes:
         """Return the status report as JSON."""
 
+    def operation(self, query: OperationQuery) -> OperationReply:
+        """Tell another proxy what became of an operation of this one."""
+
     def indirect_ping(self, request: IndirectPing, reply: Callable[[Message], None]) -> None:
         """Ping a third proxy for another one, and reply whether it answered."""
 
+    def relay(self, relay: Relay, reply: Callable[[Message], None]) -> None:
+        """Ask a core machine for another proxy, and reply what it answered."""
+
 
 class OfferLink:
     """One link from another proxy. An exchange has the link to itself while it lasts."""
@@ -78,6 +87,10 @@
             link.send(IndirectPingReply(True), number)
         elif isinstance(message, IndirectPing):
             self._queries.indirect_ping(message, partial(self._reply, number))
+        elif isinstance(message, OperationQuery):
+            link.send(self._queries.operation(message), number)
+        elif isinstance(message, Relay):
+            self._queries.relay(message, partial(self._reply, number))
         else:
             link.close()
 
--- a/lilacsill/mesh/proxy/status_report.py
+++ b/lilacsill/mesh/proxy/status_report.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from lilacsill.mesh.operations.operation_gate import OperationGate
 from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import Load
 
@@ -12,6 +13,7 @@
 from .endpoint_table import EndpointLoad
 from .failure_detector import FailureDetector
 from .forwarder import Forwarder
+from .shared_state import SharedState
 
 
 class BackendStatus(msgspec.Struct):
@@ -43,6 +45,24 @@
     ejected_ms: int  # for so long it is left out, since its machine could not be reached
 
 
+class OperationsStatus(msgspec.Struct):
+    """The operations with a key that this proxy claimed, within the key window and a margin."""
+
+    states: dict[str, int]  # how many are in each `RecordState`
+    response_bytes: int
+    replayed: int  # repeats that got a stored response
+
+
+class RelaysStatus(msgspec.Struct):
+    """Questions to core machines that went through other proxies, since the start."""
+
+    unreachable: list[str]  # the core machines that do not answer this proxy
+    answered: int  # own questions whose answer came through another proxy
+    unanswered: int
+    served: int  # questions of other proxies
+    refused: int
+
+
 class ProxyStatus(msgspec.Struct):
     """The whole report."""
 
@@ -58,6 +78,9 @@
     monitors: list[str]  # the proxies that this one pings
     suspects: list[str]
     tables: dict[str, list[EndpointStatus]]  # by service
+    refusals: dict[str, int]  # requests that got no attempt, by `RefusalReason`
+    operations: OperationsStatus | None
+    relays: RelaysStatus
     log: list[str]
 
 
@@ -68,6 +91,7 @@
     gateway: BackendGateway,
     discovery: DiscoveryClient,
     failure_detector: FailureDetector,
+    shared_state: SharedState,
     now: int,
 ) -> ProxyStatus:
     """Return the status as of now."""
@@ -87,10 +111,31 @@
             service: [_endpoint_status(entry, now) for entry in table.entries.values()]
             for service, table in forwarder.upstreams.tables.items()
         },
+        refusals=dict(forwarder.counters.refusals),
+        operations=_operations_status(forwarder.permits.operations),
+        relays=_relays_status(shared_state),
         log=log.tail(),
     )
 
 
+def _operations_status(operations: OperationGate | None) -> OperationsStatus | None:
+    if operations is None:
+        return None
+    table = operations.table
+    return OperationsStatus(table.count_states(), table.stored_bytes, operations.replays)
+
+
+def _relays_status(shared_state: SharedState) -> RelaysStatus:
+    counters = shared_state.relay_counters
+    return RelaysStatus(
+        unreachable=shared_state.unreachable,
+        answered=counters.answered,
+        unanswered=counters.unanswered,
+        served=counters.served,
+        refused=counters.refused,
+    )
+
+
 def _backend_status(gateway: BackendGateway) -> BackendStatus:
     lifecycle, pool = gateway.lifecycle, gateway.pool
     return BackendStatus(
--- a/lilacsill/mesh/store/node.py
+++ b/lilacsill/mesh/store/node.py
@@ -21,9 +21,11 @@
     Read,
     Replicate,
     SummaryRequest,
+    TokenRequest,
     View,
     ViewChange,
 )
+from lilacsill.mesh.runtime.settings import TimingBounds
 
 from . import facts
 from .chain import Chain
@@ -36,9 +38,9 @@
 from .membership import Membership
 from .operation_claims import OperationClaims
 from .paxos import AcceptorState
+from .quotas import StoreQuotas
 from .replica import NO_VIEW, Replica
 
-DEFAULT_KEY_WINDOW_US = 60_000_000  # as of `TimingBounds`
 FIRST_INCARNATION = "first"  # of the disk of a seed when the whole system starts for the first time
 
 Handler = Callable[[Any, Callable[[Message], None]], None]
@@ -54,7 +56,7 @@
         new_incarnation: Incarnation of this machine's disk if the disk is empty.
         max_lost_machines: So many machines may be lost at once.
         max_lost_zones: So many zones or regions may be lost at once.
-        key_window_us: For so long after an operation was sent its repeats may come.
+        timing: The bounds on what all proxies share.
     """
 
     address: str
@@ -63,7 +65,7 @@
     new_incarnation: str
     max_lost_machines: int
     max_lost_zones: int = 0
-    key_window_us: int = DEFAULT_KEY_WINDOW_US
+    timing: TimingBounds = TimingBounds()
 
 
 class DiskContents(msgspec.Struct, frozen=True):
@@ -84,8 +86,9 @@
         self.membership = membership = Membership(replica, chain, lease_manager, settings.seeds, tolerance)
         commit_check = CommitCheck(replica, membership.has_too_few_copies)
         self.frontend = frontend = Frontend(replica, chain, commit_check)
-        self.operation_claims = claims = OperationClaims(replica, chain, commit_check, settings.key_window_us)
+        self.operation_claims = claims = OperationClaims(replica, chain, commit_check, settings.timing.key_window_us)
         self.followers = followers = Followers(replica, chain, membership)
+        self.quotas = StoreQuotas(replica, lease_manager, settings.timing)
         self.handlers: dict[type, Handler] = {
             Heartbeat: membership.handle_heartbeat,
             ViewChange: membership.handle_view_change,
@@ -98,6 +101,7 @@
             Claim: claims.handle_claim,
             Prepare: lease_manager.prepare,
             Accept: lease_manager.accept,
+            TokenRequest: self.quotas.owner.handle_token_request,
         }
 
     def start(self) -> None:
--- a/lilacsill/mesh/store/state.py
+++ b/lilacsill/mesh/store/state.py
@@ -21,8 +21,10 @@
 
 from lilacsill.mesh.runtime.messages import Item
 from lilacsill.mesh.runtime.sequence import ItemKey, Items, tombstones_up_to
+from lilacsill.mesh.tenants.tenant import TENANT
 
 from .digests import RANGE_COUNT, checksum_of, digest_of, range_of
+from .key_index import KeyIndex
 from .operation_records import KINDS as KINDS_OF_OPERATIONS
 from .operation_records import OPERATION, OPERATION_FLOOR, floor_of
 from .route_index import LIMITS, ROUTE, SERVICE, RouteIndex, RouteMatch
@@ -66,6 +68,7 @@
         self.tombstone_floor = 0
         self.tombstones = 0
         self._route_index: RouteIndex | None = None  # made on first use: only a head needs one
+        self._key_index: KeyIndex | None = None  # the same
         self._keys_by_range: list[set[ItemKey]] | None = None  # while a copy is compared or repaired
 
     @property
@@ -108,7 +111,7 @@
             seq: With the last part of a repair, the sequence number up to which the state is complete then.
             tombstone_floor: As of `seq`.
         """
-        self._route_index = None
+        self._route_index = self._key_index = None
         for number in set(ranges):
             for key in list(self._range_index()[number]):
                 self._remove(key)
@@ -173,6 +176,8 @@
         self.tombstones += item.body is None
         if self._route_index is not None:
             self._route_index.replace(present, item)
+        if self._key_index is not None:
+            self._key_index.replace(present, item)
 
     def _remove(self, key: ItemKey) -> None:
         removed = self._part(key[0]).remove(key)
@@ -260,6 +265,14 @@
         """Return how many routes refer to a service."""
         return self._routes().reference_count(service)
 
+    def key_owner(self, key: bytes) -> str | None:
+        """Return the name of the tenant with this key."""
+        if self._key_index is None:
+            self._key_index = KeyIndex()
+            for item in self.items.values():
+                self._key_index.replace(None, item)
+        return self._key_index.owner(key)
+
     def _routes(self) -> RouteIndex:
         if self._route_index is None:
             self._route_index = RouteIndex()
@@ -282,6 +295,9 @@
             placed = _placed_rule.decode(body)
             hosts.setdefault(placed.Host, []).append(placed.Rule)
         configuration: dict[str, Any] = {}
+        tenants = list(map(msgspec.Raw, self._bodies(TENANT)))
+        if tenants:
+            configuration["Customers"] = tenants
         limits = self.item(LIMITS, "")
         if limits is not None and limits.body is not None:
             configuration["Limits"] = msgspec.Raw(limits.body)
