--- a/tests/mesh/soak/test_soak.py
+++ b/tests/mesh/soak/test_soak.py
@@ -29,3 +29,10 @@
     owed = report.requests - report.statuses.get(QUOTA_EXCEEDED, 0)  # a hot tenant sends mostly beyond its limit
     assert report.served > MIN_SERVED_SHARE * owed and report.changes_acknowledged > 1, describe(report)
     assert report.operations_repeated > MIN_REPEATED, describe(report)
+
+
+# A keyed write with a long body got no response by its deadline and half a second more.
+@pytest.mark.parametrize("seed", [103])
+def test_a_seeded_soak_of_a_larger_shared_deployment_breaks_no_rule(seed: int) -> None:
+    report = play(SoakSettings(seed, SECONDS, core_machines=5, proxies=16, clients=64, shared=True))
+    assert not report.violations, describe(report)
