Give all decisions of the mesh one environment protocol

Claims, quotas, relaying and the store each had a protocol for the clock, the timers and the links of their process, with the same methods under four descriptions. A change of one had to be repeated in the others.

A common base for the failure detector and the credit prototype was ruled out here: they ask for less, and their stand-ins do, too.

`lilacsill/mesh/runtime/environment.py` has the protocol and the type of the callback. `ReplicaEnvironment` of the store extends it by the disk. The world of the tests of operations gets `call_soon`. No behaviour changes.

--- a/lilacsill/mesh/operations/claim_client.py
+++ b/lilacsill/mesh/operations/claim_client.py
@@ -8,9 +8,9 @@
 
 from collections.abc import Callable
 from enum import Enum
-from typing import Any, Protocol
 
 from lilacsill.mesh.runtime.core_members import CoreMembers
+from lilacsill.mesh.runtime.environment import Environment
 from lilacsill.mesh.runtime.messages import (
     Claim,
     ClaimReply,
@@ -21,7 +21,6 @@
     OperationState,
 )
 from lilacsill.mesh.runtime.records import OperationOwner, StoredResponse
-from lilacsill.timers import Timer
 
 CLAIM_TIMEOUT_US = 100_000  # a commit takes two syncs and some hops; a head that needs longer may be lost
 QUERY_TIMEOUT_US = 200_000  # of the question to the owner
@@ -30,19 +29,6 @@
 MIN_TIMEOUT_US = 1_000  # with less time left no question is sent
 
 
-class ClaimEnvironment(Protocol):
-    """The clock, the timers and the links of a process."""
-
-    def now(self) -> int:
-        """Return the time, in microseconds."""
-
-    def after(self, delay_us: int, call: Callable[..., None], *arguments: Any) -> Timer:
-        """Call this once, after the delay."""
-
-    def ask(self, address: str, message: Message, timeout_us: int, answered: Callable[[Message | None], None]) -> None:
-        """Send a question; `answered` is called once, later, with None if there was no answer in time."""
-
-
 class ClaimOutcome(Enum):
     """The decision on a claim. Where another proxy has answered the operation, its `StoredResponse` is the decision."""
 
@@ -61,7 +47,7 @@
 class ClaimClient:
     """Makes the claims of one proxy."""
 
-    def __init__(self, environment: ClaimEnvironment, members: CoreMembers, on_granted: OnGranted) -> None:
+    def __init__(self, environment: Environment, members: CoreMembers, on_granted: OnGranted) -> None:
         self.environment, self.members, self.on_granted = environment, members, on_granted
 
     def claim(
--- a/lilacsill/mesh/operations/operation_gate.py
+++ b/lilacsill/mesh/operations/operation_gate.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 
 from lilacsill.mesh.runtime.core_members import CoreMembers
+from lilacsill.mesh.runtime.environment import Environment
 from lilacsill.mesh.runtime.messages import OperationQuery, OperationReply
 from lilacsill.mesh.runtime.records import StoredResponse
 
-from .claim_client import ClaimClient, ClaimEnvironment, ClaimOutcome, Decision, PendingClaim
+from .claim_client import ClaimClient, ClaimOutcome, Decision, PendingClaim
 from .operation_name import operation_name
 from .operation_table import OperationRecord, OperationTable, Refusal
 
@@ -23,7 +24,7 @@
 class OperationRun:
     """The right to run an operation once. Its holder reports one outcome; a second report changes nothing."""
 
-    def __init__(self, table: OperationTable, record: OperationRecord, environment: ClaimEnvironment) -> None:
+    def __init__(self, table: OperationTable, record: OperationRecord, environment: Environment) -> None:
         self._table, self._environment = table, environment
         self._record: OperationRecord | None = record  # None: the outcome is known
 
@@ -94,7 +95,7 @@
         replays: How many were answered with a stored response.
     """
 
-    def __init__(self, table: OperationTable, environment: ClaimEnvironment, members: CoreMembers) -> None:
+    def __init__(self, table: OperationTable, environment: Environment, members: CoreMembers) -> None:
         self.table, self.environment = table, environment
         self.claims = ClaimClient(environment, members, table.record_granted)
         self.replays = 0
--- a/lilacsill/mesh/proxy/shared_state.py
+++ b/lilacsill/mesh/proxy/shared_state.py
@@ -11,11 +11,11 @@
 from lilacsill.mesh.quota.quota_client import QuotaClient
 from lilacsill.mesh.relaying.core_links import CoreLinks
 from lilacsill.mesh.relaying.counters import RelayCounters
-from lilacsill.mesh.relaying.environment import Environment
 from lilacsill.mesh.relaying.relay_selector import RelaySelector
 from lilacsill.mesh.relaying.relay_server import RelayServer
 from lilacsill.mesh.relaying.relayed_links import RelayedLinks
 from lilacsill.mesh.runtime.core_members import CoreMembers
+from lilacsill.mesh.runtime.environment import Environment
 from lilacsill.mesh.runtime.incarnation import INCARNATION_ID_BYTES, incarnation_id
 from lilacsill.mesh.runtime.settings import Settings
 
--- a/lilacsill/mesh/quota/quota_client.py
+++ b/lilacsill/mesh/quota/quota_client.py
@@ -16,10 +16,10 @@
 import msgspec
 
 from lilacsill.mesh.runtime.core_members import CoreMembers
+from lilacsill.mesh.runtime.environment import Environment
 from lilacsill.mesh.runtime.messages import Message, TokenReply, TokenRequest
 from lilacsill.mesh.runtime.records import TokenDemand, TokenGrant
 
-from .environment import Environment
 from .quota_decision import GRANTED, UNAVAILABLE, OnDecision, PendingToken, QuotaDecision, QuotaVerdict
 from .view_probe import ViewProbe
 
--- a/lilacsill/mesh/quota/view_probe.py
+++ b/lilacsill/mesh/quota/view_probe.py
@@ -5,10 +5,9 @@
 from collections.abc import Callable
 
 from lilacsill.mesh.runtime.core_members import CoreMembers
+from lilacsill.mesh.runtime.environment import Environment
 from lilacsill.mesh.runtime.messages import Message, TokenReply, TokenRequest
 
-from .environment import Environment
-
 PROBE_TIMEOUT_US = 300_000
 MIN_PAUSE_US = 20_000  # after a question that brought no decision
 MAX_PAUSE_US = 160_000
--- a/lilacsill/mesh/relaying/core_links.py
+++ b/lilacsill/mesh/relaying/core_links.py
@@ -4,9 +4,9 @@
 
 from functools import partial
 
+from lilacsill.mesh.runtime.environment import Answered, Environment
 from lilacsill.mesh.runtime.messages import Message, TokenRequest
 
-from .environment import Answered, Environment
 from .reachability import UNPROVEN_TIMEOUT_US, Reachability
 
 
--- a/lilacsill/mesh/relaying/relayed_links.py
+++ b/lilacsill/mesh/relaying/relayed_links.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
+from lilacsill.mesh.runtime.environment import Answered, Environment
 from lilacsill.mesh.runtime.messages import Claim, Message, Relay, RelayReply, TokenRequest
 
 from .core_links import CoreLinks
 from .counters import RelayCounters
-from .environment import Answered, Environment
 from .relay_selector import RelaySelector
 
 RELAYED_TIMEOUT_US = 100_000  # for an answer through other proxies, however many are asked
--- a/lilacsill/mesh/quota/environment.py
+++ b/lilacsill/mesh/runtime/environment.py
@@ -1,4 +1,7 @@
-"""What a quota client needs of its process: a clock, timers, and the members of the store."""
+"""What a decision needs of its process: a clock, timers and the links to other processes.
+
+Each program implements it over its event loop; in tests a world in virtual time takes its place.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +15,7 @@
 
 
 class Environment(Protocol):
-    """The surroundings of one quota client. All callbacks come in one thread."""
+    """The surroundings of one process. All callbacks come in one thread."""
 
     def now(self) -> int:
         """Return the time of a monotonic clock in microseconds."""
--- a/lilacsill/mesh/simulation/network.py
+++ b/lilacsill/mesh/simulation/network.py
@@ -9,9 +9,10 @@
 from random import Random
 from typing import Any
 
+from lilacsill.mesh.runtime.environment import Answered
 from lilacsill.mesh.runtime.messages import Item, Message, decode, encode
 from lilacsill.mesh.store.digests import range_of
-from lilacsill.mesh.store.environment import Answered, Done, Save
+from lilacsill.mesh.store.environment import Done, Save
 from lilacsill.mesh.store.operation_records import OPERATION, highest_floor
 from lilacsill.timers import Timer, TimerWheel
 
--- a/lilacsill/mesh/store/environment.py
+++ b/lilacsill/mesh/store/environment.py
@@ -6,14 +6,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from typing import Any, Protocol
+from typing import Protocol
 
 import msgspec
 
-from lilacsill.mesh.runtime.messages import Item, Message
-from lilacsill.timers import Timer
+from lilacsill.mesh.runtime.environment import Environment
+from lilacsill.mesh.runtime.messages import Item
 
-Answered = Callable[[Message | None], None]  # None: no answer came in time
 Done = Callable[[], None]
 
 
@@ -34,24 +33,8 @@
     tombstone_floor: int = 0
 
 
-class Environment(Protocol):
-    """The surroundings of one replica. All callbacks come in one thread."""
-
-    def now(self) -> int:
-        """Return the time of a steady clock in microseconds."""
-        ...
-
-    def after(self, delay_us: int, call: Callable[..., None], *arguments: Any) -> Timer:
-        """Call once after the delay, unless the timer is cancelled."""
-        ...
-
-    def call_soon(self, callback: Callable[..., Any], *args: Any) -> None:
-        """Call once, after the present callback has returned."""
-        ...
-
-    def ask(self, address: str, message: Message, timeout_us: int, answered: Answered) -> None:
-        """Send a request; `answered` is called once, never from inside this call."""
-        ...
+class ReplicaEnvironment(Environment, Protocol):
+    """The surroundings of one replica: those of any process, and a disk."""
 
     def save(self, save: Save, done: Done) -> None:
         """Write to disk, in the order of the calls; `done` is called when it is there."""
--- a/lilacsill/mesh/store/local_environment.py
+++ b/lilacsill/mesh/store/local_environment.py
@@ -6,17 +6,18 @@
 from typing import Any
 
 from lilacsill.address import parse_address
+from lilacsill.mesh.runtime.environment import Answered
 from lilacsill.mesh.runtime.messages import Message
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.runtime.rpc import RequestHandler, RpcClientPool
 from lilacsill.timers import Timer
 
 from .disk import Disk
-from .environment import Answered, Done, Save
+from .environment import Done, Save
 
 
 class LocalEnvironment:
-    """An `Environment`.
+    """A `ReplicaEnvironment`.
 
     Attributes:
         handlers: The handlers of this process's own messages by type; the process sets them before it starts.
--- a/lilacsill/mesh/store/node.py
+++ b/lilacsill/mesh/store/node.py
@@ -31,7 +31,7 @@
 from .chain import Chain
 from .cluster_monitor import FaultTolerance
 from .commit_check import CommitCheck
-from .environment import Environment, Save, ignore_completion
+from .environment import ReplicaEnvironment, Save, ignore_completion
 from .followers import Followers
 from .frontend import Frontend
 from .lease_manager import LeaseManager
@@ -78,7 +78,7 @@
 class Store:
     """One machine of the store. It observes its chain."""
 
-    def __init__(self, environment: Environment, settings: StoreSettings, disk: DiskContents) -> None:
+    def __init__(self, environment: ReplicaEnvironment, settings: StoreSettings, disk: DiskContents) -> None:
         self.replica = replica = recover(environment, settings, disk)
         self.chain = chain = Chain(replica, self)
         self.lease_manager = lease_manager = LeaseManager(replica, self._on_leases_released)
@@ -129,7 +129,7 @@
         self.membership.on_learner_synced()
 
 
-def recover(environment: Environment, settings: StoreSettings, disk: DiskContents) -> Replica:
+def recover(environment: ReplicaEnvironment, settings: StoreSettings, disk: DiskContents) -> Replica:
     """Return the replica that the disk holds.
 
     An empty disk makes a new machine, which knows of no view. The seeds of the very first start are the exception.
--- a/lilacsill/mesh/store/replica.py
+++ b/lilacsill/mesh/store/replica.py
@@ -12,7 +12,7 @@
 from lilacsill.mesh.runtime.messages import Departure, Item, Member, Message, View
 
 from . import facts
-from .environment import Environment, Save, ignore_completion
+from .environment import ReplicaEnvironment, Save, ignore_completion
 from .paxos import Acceptor
 from .state import ConfigState
 
@@ -35,7 +35,7 @@
         view_listeners: Called in order after each adoption of a view.
     """
 
-    def __init__(self, environment: Environment, stored: facts.StoredReplica, items: Iterable[Item]) -> None:
+    def __init__(self, environment: ReplicaEnvironment, stored: facts.StoredReplica, items: Iterable[Item]) -> None:
         self.environment, self.me, self.view = environment, stored.member, stored.view
         self.complete = stored.complete
         self.in_sync = False
--- a/lilacsill/mesh/store/successor.py
+++ b/lilacsill/mesh/store/successor.py
@@ -15,11 +15,11 @@
 from functools import partial
 from typing import Protocol
 
+from lilacsill.mesh.runtime.environment import Answered
 from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import Item, Member, Message, Replicate, ReplicateReply, Summary, SummaryRequest
 
 from .digests import differing_ranges
-from .environment import Answered
 from .replica import Replica
 from .state import size_of
 
--- a/tests/mesh/test_successor.py
+++ b/tests/mesh/test_successor.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from lilacsill.mesh.runtime.environment import Answered
 from lilacsill.mesh.runtime.messages import (
     Item,
     Member,
@@ -20,7 +21,7 @@
 from lilacsill.mesh.store import successor
 from lilacsill.mesh.store.commit_waiters import CommitWaiters
 from lilacsill.mesh.store.digests import RANGE_COUNT
-from lilacsill.mesh.store.environment import Answered, Done, Save
+from lilacsill.mesh.store.environment import Done, Save
 from lilacsill.mesh.store.facts import StoredReplica
 from lilacsill.mesh.store.paxos import AcceptorState
 from lilacsill.mesh.store.replica import Replica
--- a/tests/operations/world.py
+++ b/tests/operations/world.py
@@ -36,6 +36,9 @@
     def after(self, delay_us: int, call: Callable[..., None], *arguments: object) -> Timer:
         return self._wheel.add(self.clock + delay_us, call, arguments)
 
+    def call_soon(self, callback: Callable[..., None], *args: object) -> None:
+        self.after(0, callback, *args)
+
     def ask(self, address: str, message: Message, timeout_us: int, answered: Callable[[Message | None], None]) -> None:
         """As `RpcClient.request`: one call, later."""
         done: list[bool] = []
