Keep one function that lets the first of several answers through

The store had `once`, the simulation `once_only`, and the virtual worlds of two test packages a list each for the same purpose.

Imports of the simulation's function from the store were ruled out: the store must not know the simulation, and tests of proxies should not need the store.

`once` is generic and stands in `lilacsill/mesh/runtime/callbacks.py`. The nested functions of the local environment and of the simulated callers are older code with a second purpose, and stay. No behaviour changes.

--- a/lilacsill/mesh/simulation/credit.py
+++ b/lilacsill/mesh/simulation/credit.py
@@ -16,8 +16,9 @@
 from lilacsill.mesh.credit.home import HomeNode
 from lilacsill.mesh.credit.messages import Handover, LeaseGrant, LeaseRejection, LeaseRequest, Message, Mirror
 from lilacsill.mesh.credit.roster import Roster
+from lilacsill.mesh.runtime.callbacks import once
 
-from .network import MS, SECOND, Time, once_only
+from .network import MS, SECOND, Time
 from .store_fleet import RuleBroken
 
 NEAR_US, FAR_US = 1 * MS, 55 * MS
@@ -49,8 +50,7 @@
 
     def ask(self, node: str, message: Message, timeout_us: int, answered: Callable[[Message | None], None]) -> None:
         """Send a request to another node; `answered` is called once, with None after the time-out."""
-        once = once_only(answered)
-        back = self._here(once)
+        back = self._here(once(answered))
         self.street.time.after(timeout_us, back, None)
         self.street.carry(self.name, node, lambda: self.street.nodes[node].take(self.name, message, back))
 
--- a/lilacsill/mesh/simulation/network.py
+++ b/lilacsill/mesh/simulation/network.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import Any
 
+from lilacsill.mesh.runtime.callbacks import once
 from lilacsill.mesh.runtime.environment import Answered
 from lilacsill.mesh.runtime.messages import Item, Message, decode, encode
 from lilacsill.mesh.store.digests import range_of
@@ -51,19 +52,6 @@
         self.now = until
 
 
-def once_only(answered: Callable[[Any], None]) -> Callable[[Any], None]:
-    """The first of an answer and a time-out counts."""
-    over = False
-
-    def once(answer: Any) -> None:
-        nonlocal over
-        if not over:
-            over = True
-            answered(answer)
-
-    return once
-
-
 class Disk:
     """What lasts: each save is whole or missing. What was not synced when power goes may be either."""
 
@@ -185,9 +173,9 @@
 
     def ask(self, address: str, message: Message, timeout_us: int, answered: Answered) -> None:
         """Send a request to a machine; `answered` is called once, with None after the time-out."""
-        once = once_only(answered)
-        self.net.time.after(self._real_us(timeout_us), self.here(once), None)
-        back = self.here(once)
+        answer_once = once(answered)
+        self.net.time.after(self._real_us(timeout_us), self.here(answer_once), None)
+        back = self.here(answer_once)
         if self.net.refuses(self.address, address, lambda: back(None)):
             return
         self.net.send(
--- a/lilacsill/mesh/simulation/paxos_contest.py
+++ b/lilacsill/mesh/simulation/paxos_contest.py
@@ -15,10 +15,11 @@
 
 import msgspec
 
+from lilacsill.mesh.runtime.callbacks import once
 from lilacsill.mesh.runtime.messages import Accept, Ballot, Confirm, Confirmed, Member, Message, Prepare, View
 from lilacsill.mesh.store.paxos import Acceptor, AcceptorState, Proposal, ProposalCallbacks
 
-from .network import MS, Time, once_only
+from .network import MS, Time
 from .store_fleet import RuleBroken
 
 LATE_US, SYNC_US, ASK_US = 30 * MS, 60 * MS, 200 * MS
@@ -132,10 +133,10 @@
             )
 
     def _ask(self, member: Member, message: Message, answered: Callable[[Message | None], None]) -> None:
-        once = once_only(answered)
-        self.time.after(ASK_US, once, None)
+        answer_once = once(answered)
+        self.time.after(ASK_US, answer_once, None)
         if self.rng.random() >= LOST:
-            self.time.after(self.rng.randrange(LATE_US), self._arrive, member, message, once)
+            self.time.after(self.rng.randrange(LATE_US), self._arrive, member, message, answer_once)
 
     def _arrive(self, member: Member, message: Message, answered: Callable[[Message | None], None]) -> None:
         seat = self.seats[member]
--- a/lilacsill/mesh/store/frontend.py
+++ b/lilacsill/mesh/store/frontend.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from lilacsill.mesh.runtime.callbacks import once
 from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import Confirm, Confirmed, Item, Member, Patch, Read, Reply
 
@@ -21,7 +22,7 @@
 from .recent_refusals import RecentRefusals
 from .rejections import Rejection, StateTooLarge
 from .replica import Replica
-from .replies import Replier, once
+from .replies import Replier
 
 if TYPE_CHECKING:
     from .calls import Call
--- a/tests/operations/test_schedules.py
+++ b/tests/operations/test_schedules.py
@@ -10,9 +10,9 @@
 from lilacsill.mesh.operations import operation_table
 from lilacsill.mesh.operations.operation_gate import OperationRun, PendingPermission, Permission
 from lilacsill.mesh.operations.operation_table import RETENTION_MARGIN_US, OperationRecord, OperationTable
+from lilacsill.mesh.runtime.callbacks import once
 from lilacsill.mesh.runtime.messages import Claim, ClaimReply, ClaimStatus, Message
 from lilacsill.mesh.runtime.records import OperationOwner, StoredResponse
-from lilacsill.mesh.store.replies import once
 from tests.planted_defects import Plant
 
 from .world import HEAD, HOP_US, KEY_WINDOW_US, OTHER, PATIENCE_US, World
--- a/tests/operations/world.py
+++ b/tests/operations/world.py
@@ -6,6 +6,7 @@
 
 from lilacsill.mesh.operations.operation_gate import OperationGate, Permission
 from lilacsill.mesh.operations.operation_table import OperationTable
+from lilacsill.mesh.runtime.callbacks import once
 from lilacsill.mesh.runtime.core_members import CoreMembers
 from lilacsill.mesh.runtime.messages import Claim, ClaimReply, ClaimStatus, Message, OperationQuery
 from lilacsill.mesh.runtime.records import OperationOwner
@@ -41,12 +42,7 @@
 
     def ask(self, address: str, message: Message, timeout_us: int, answered: Callable[[Message | None], None]) -> None:
         """As `RpcClient.request`: one call, later."""
-        done: list[bool] = []
-
-        def finish(reply: Message | None) -> None:
-            if not done:
-                done.append(True)
-                answered(reply)
+        finish = once(answered)
 
         def arrive() -> None:
             if address not in self.lost:
--- a/tests/relaying/world.py
+++ b/tests/relaying/world.py
@@ -9,6 +9,7 @@
 from lilacsill.mesh.relaying.relay_selector import RelaySelector
 from lilacsill.mesh.relaying.relay_server import RelayServer
 from lilacsill.mesh.relaying.relayed_links import RelayedLinks
+from lilacsill.mesh.runtime.callbacks import once
 from lilacsill.mesh.runtime.core_members import CoreMembers
 from lilacsill.mesh.runtime.messages import Claim, ClaimReply, ClaimStatus, Message, Relay, TokenReply, TokenRequest
 from lilacsill.mesh.runtime.records import OperationOwner, TokenDemand, TokenGrant
@@ -72,14 +73,9 @@
         self, sender: str, address: str, message: Message, timeout_us: int, answered: Callable[[Message | None], None]
     ) -> None:
         """As `RpcClient.request`: one call, later."""
-        done: list[bool] = []
+        finish = once(answered)
         self.sent.append((sender, address, message))
 
-        def finish(reply: Message | None) -> None:
-            if not done:
-                done.append(True)
-                answered(reply)
-
         def arrive() -> None:
             if (sender, address) not in self.broken:
                 self._arrive(address, message, lambda reply: self._return(finish, reply))
