Let three test files of the mesh share their event loop

The fixture `reactor` stood in three files, word for word, one of them new.

The fixture of tests/rules/test_threads.py stays: it also shortens the interval between threads. The two stages make their event loop as context managers, which build more than it.

The fixture is in tests/mesh/conftest.py. No test changes.

--- a/tests/mesh/test_disk.py
+++ b/tests/mesh/test_disk.py
@@ -5,7 +5,6 @@
 import os
 import resource
 import sqlite3
-from collections.abc import Iterator
 from contextlib import suppress
 from pathlib import Path
 from random import Random
@@ -20,15 +19,6 @@
 from lilacsill.mesh.store.digests import RANGE_COUNT, range_of
 from lilacsill.mesh.store.disk import FILE_NAME, Disk, DiskError, PendingSave
 from lilacsill.mesh.store.environment import Save
-from lilacsill.net import reactor as watchers
-
-
-@pytest.fixture
-def reactor() -> Iterator[Reactor]:
-    made = Reactor()
-    yield made
-    made.close()
-    watchers.install(None)
 
 
 def run_until(reactor: Reactor, done: list[str], count: int) -> None:
--- a/tests/mesh/test_operation_records.py
+++ b/tests/mesh/test_operation_records.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from random import Random
 
-import pytest
 
 from lilacsill.mesh.runtime.messages import Item, OperationOwner
 from lilacsill.mesh.runtime.reactor import Reactor
@@ -17,7 +16,6 @@
 from lilacsill.mesh.store.environment import Save
 from lilacsill.mesh.store.operation_records import floor_item, operation_item
 from lilacsill.mesh.store.state import ConfigState
-from lilacsill.net import reactor as watchers
 
 
 def operation(number: int, seq: int, version: int = 1) -> Item:
@@ -91,14 +89,6 @@
         assert reloaded.config_seq == highest and reloaded.digests == state.digests
 
 
-@pytest.fixture
-def reactor() -> Iterator[Reactor]:
-    made = Reactor()
-    yield made
-    made.close()
-    watchers.install(None)
-
-
 SAVES = [
     Save([route("a", 1), operation(1, 2), operation(2, 3)], facts={"seq": b"3"}),
     Save([operation(1, 4, version=2), route("b", 5, None)], facts={"seq": b"5"}),
--- a/tests/mesh/test_stored_by_previous_version.py
+++ b/tests/mesh/test_stored_by_previous_version.py
@@ -10,7 +10,6 @@
 
 import shutil
 import sqlite3
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -25,7 +24,6 @@
 from lilacsill.mesh.store.environment import Save
 from lilacsill.mesh.store.node import DiskContents, StoreSettings, recover
 from lilacsill.mesh.store.replica import Replica
-from lilacsill.net import reactor as watchers
 
 RECORDED = Path(__file__).parent / "data" / "store_of_version_0_1.db"
 ADDRESS = "10.0.0.1:7661"
@@ -65,14 +63,6 @@
 }
 
 
-@pytest.fixture
-def reactor() -> Iterator[Reactor]:
-    made = Reactor()
-    yield made
-    made.close()
-    watchers.install(None)
-
-
 @pytest.fixture
 def folder(tmp_path: Path) -> Path:
     """A folder with a copy of the recorded file."""
