--- a/tests/operations/world.py
+++ b/tests/operations/world.py
@@ -6,6 +6,7 @@
 
 from lilacsill.mesh.operations.operation_gate import OperationGate, Permission
 from lilacsill.mesh.operations.operation_table import OperationTable
+from lilacsill.mesh.runtime.callbacks import once
 from lilacsill.mesh.runtime.core_members import CoreMembers
 from lilacsill.mesh.runtime.messages import Claim, ClaimReply, ClaimStatus, Message, OperationQuery
 from lilacsill.mesh.runtime.records import OperationOwner
@@ -36,14 +37,12 @@
     def after(self, delay_us: int, call: Callable[..., None], *arguments: object) -> Timer:
         return self._wheel.add(self.clock + delay_us, call, arguments)
 
+    def call_soon(self, callback: Callable[..., None], *args: object) -> None:
+        self.after(0, callback, *args)
+
     def ask(self, address: str, message: Message, timeout_us: int, answered: Callable[[Message | None], None]) -> None:
         """As `RpcClient.request`: one call, later."""
-        done: list[bool] = []
-
-        def finish(reply: Message | None) -> None:
-            if not done:
-                done.append(True)
-                answered(reply)
+        finish = once(answered)
 
         def arrive() -> None:
             if address not in self.lost:
