A forwarded request is split: offers, permits, retries, streaming, current attempt

The offers of a request, the wait for its permits with the reports to the run of its operation, the decision on retries, the streaming of a long response, and the attempt under way have a module each. ForwardedRequest keeps the order of events. A base class with the shared state was ruled out: it would only have spread one object over two files.

No behaviour changes.

--- /dev/null
+++ b/lilacsill/mesh/proxy/request_offer.py
@@ -0,0 +1,55 @@
+"""What the offers of one request have in common, and how much time each of them has left."""
+
+from __future__ import annotations
+
+from lilacsill.http1.message import Message as HttpMessage
+from lilacsill.mesh.runtime.messages import Offer
+from lilacsill.mesh.tenants.tenant import Tenant
+
+from .endpoint_table import EndpointLoad
+from .request_body import RequestBody
+from .request_head import client_patience_us, forwarded_headers, stated_length
+from .request_owner import RequestOwner
+from .routes import Route
+
+
+class OfferTemplate:
+    """Makes the offers of one request.
+
+    Attributes:
+        arrived_at: When the request came; time of the reactor's clock.
+        deadline: When a response is worth nothing any more.
+    """
+
+    def __init__(self, owner: RequestOwner, request: HttpMessage, route: Route, tenant: Tenant | None) -> None:
+        """Take a request that comes now."""
+        self._owner, self._request, self._route = owner, request, route
+        patience_us = client_patience_us(request)
+        self.arrived_at = owner.reactor.now()
+        self.deadline = self.arrived_at + min(patience_us, route.timeout_us)
+        # A client that comes back has lost a part of the time of the target, too.
+        time_spent_us = owner.statistics.time_spent_us(route.name, patience_us)
+        self._target_at = self.arrived_at + route.target_us - time_spent_us
+        self._priority = owner.priority(route, tenant)
+        self._headers = forwarded_headers(request, owner.caller, tenant.name if tenant is not None else None)
+
+    def offer_to(self, entry: EndpointLoad, service: str, body: RequestBody, may_have_run: bool, now: int) -> Offer:
+        """Return the offer to an endpoint of a service, with what has come of the body."""
+        request, route = self._request, self._route
+        return Offer(
+            server=entry.endpoint.server,
+            service=service,
+            route=route.name,
+            method=request.method,
+            target=request.target,
+            headers=self._headers,
+            body=body.data,
+            body_complete=body.is_complete,
+            content_length=stated_length(request),
+            time_left_ms=(self.deadline - now) // 1000,
+            target_left_ms=(self._target_at - now) // 1000,
+            priority=self._priority,
+            idempotent=route.is_idempotent,
+            may_have_run=may_have_run,
+            expected_ms=self._owner.statistics.usual_ms(route.name) or 0,
+        )
--- a/tests/control/defects_point_5.py
+++ b/tests/control/defects_point_5.py
@@ -13,6 +13,7 @@
 from lilacsill.mesh.proxy.backend_request import BackendRequest
 from lilacsill.mesh.proxy.forwarded_request import ForwardedRequest
 from lilacsill.mesh.proxy.endpoint_table import EndpointLoad
+from lilacsill.mesh.proxy.retry_decision import RetryDecision
 from lilacsill.mesh.proxy.admission import AdmissionController, AdmissionRequest
 from lilacsill.mesh.proxy.reasons import FailureReason, RejectionReason
 from lilacsill.mesh.proxy.exchange_links import ExchangeLinks, LinkExchange
@@ -73,7 +74,7 @@
     def answered(self: ForwardedRequest, m: Response) -> None:
         if m.status < 500 or m.body_complete:
             return real(self, m)
-        self._end_attempt(m)
+        self._current.end(m)
         self._respond(m.status, m.headers, m.body)
 
     real = ForwardedRequest._on_response
@@ -145,7 +146,7 @@
 
 
 def a_route_allows_any_number_of_tries(patch: Patch) -> None:
-    patch.setattr(ForwardedRequest, "_may_retry", lambda self: True)
+    patch.setattr(RetryDecision, "may_retry", lambda self: True)
 
 
 def the_slack_is_there_at_once(patch: Patch) -> None:
--- a/tests/rules/defects.py
+++ b/tests/rules/defects.py
@@ -35,6 +35,8 @@
 from lilacsill.mesh.proxy.forwarded_request import ForwardedRequest
 from lilacsill.mesh.proxy.graceful_shutdown import GracefulShutdown
 from lilacsill.mesh.proxy.offer_server import OfferLink
+from lilacsill.mesh.proxy.request_body import RequestBody
+from lilacsill.mesh.proxy.request_offer import OfferTemplate
 from lilacsill.mesh.proxy.request_permits import OwnResponse, PendingPermits
 from lilacsill.mesh.proxy.reasons import RejectionReason
 from lilacsill.mesh.proxy.retry_budget import RetryBudget
@@ -233,7 +235,7 @@
 def every_attempt_draws_its_part(patch: Patch) -> None:
     def start_attempt(self: ForwardedRequest) -> None:
         self._service = self._route.split.choose(self._owner.rng)
-        self._table = self._owner.upstreams.table(self._service)
+        self._table = self._current.table = self._owner.upstreams.table(self._service)
         real(self)
 
     real = ForwardedRequest._start_attempt
@@ -309,11 +311,14 @@
 
 
 def every_attempt_has_all_of_the_time(patch: Patch) -> None:
-    def offer_to(self: ForwardedRequest, entry: EndpointLoad, now: int) -> Offer:
-        return replace(real(self, entry, now), time_left_ms=self._route.timeout_us // 1000)
-
-    real = ForwardedRequest._offer_to
-    patch.setattr(ForwardedRequest, "_offer_to", offer_to)
+    def offer_to(
+        self: OfferTemplate, entry: EndpointLoad, service: str, body: RequestBody, may_have_run: bool, now: int
+    ) -> Offer:
+        offer = real(self, entry, service, body, may_have_run, now)
+        return replace(offer, time_left_ms=self._route.timeout_us // 1000)
+
+    real = OfferTemplate.offer_to
+    patch.setattr(OfferTemplate, "offer_to", offer_to)
 
 
 # CONFIG
