The mesh on loopback ends every process that it started, also where it fails

Seven processes stayed behind and kept their ports. With three core machines that is as many as run when the first backend cannot bind its port: `__enter__` raised, so `__exit__` was never called. Two more gaps: a process that was terminated was forgotten at once, and one that was started again took the place of the run before it.

A mesh that cannot begin now closes itself, and `close` kills everything that was ever started and still runs. The backends' listeners are closed, too. Ruled out: a death signal from the kernel for the end of the driver itself by SIGKILL, which needs code between fork and exec.

--- a/lilacsill/mesh/simulation/loopback.py
+++ b/lilacsill/mesh/simulation/loopback.py
@@ -53,6 +53,10 @@
         """Count that a request was run."""
         self._mesh.ran[attempt_id] += 1
 
+    def close(self) -> None:
+        """Accept nothing more."""
+        self.listener.close()
+
     def _accepted(self, sock: object) -> None:
         Worker(self).attach(sock)  # type: ignore[arg-type]
 
@@ -116,22 +120,34 @@
         self.backends: dict[str, Backend] = {}
 
     def __enter__(self) -> LoopbackMesh:
+        try:
+            self._start()
+        except BaseException:  # `__exit__` is not called then
+            self._close()
+            raise
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self._close()
+
+    # Processes
+
+    def _start(self) -> None:
         for ip in self.cores:
             self.start_core(ip, fresh=True)
         for ip in self.sidecars:
             self.processes.start(Program.PROXY, ip, SERVICE, fresh=True)
             self.backends[ip] = Backend(self, ip)
-        return self
 
-    def __exit__(
-        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
-    ) -> None:
+    def _close(self) -> None:
         self.processes.close()
+        for backend in self.backends.values():
+            backend.close()
         self.reactor.close()
         watchers.install(None)
 
-    # Processes
-
     def start_core(self, ip: str, fresh: bool = False) -> None:
         """Start store and registry of a core machine."""
         self.processes.start_core(ip, fresh)
--- a/lilacsill/mesh/simulation/loopback_processes.py
+++ b/lilacsill/mesh/simulation/loopback_processes.py
@@ -83,6 +83,7 @@
         self._is_logged = is_logged
         self._folder = tempfile.TemporaryDirectory(prefix=TEMPORARY_PREFIX)
         self._running: dict[ProcessKey, subprocess.Popen[bytes]] = {}
+        self._started: list[subprocess.Popen[bytes]] = []  # all of them, for the end
 
     def start(self, program: Program, ip: str, service: str = "", fresh: bool = False) -> subprocess.Popen[bytes]:
         """Start a program on a machine; a proxy stands beside a backend of `service`."""
@@ -96,6 +97,7 @@
         else:
             process = subprocess.Popen(command, env=env)
         self._running[key] = process
+        self._started.append(process)
         return process
 
     def start_core(self, ip: str, fresh: bool = False) -> None:
@@ -175,7 +177,7 @@
         return process
 
     def release(self, key: ProcessKey) -> subprocess.Popen[bytes]:
-        """Forget a process, whose end the caller waits for."""
+        """Forget a process, whose end the caller waits for; `close` ends it if it still runs."""
         return self._running.pop(key)
 
     def kill(self, key: ProcessKey) -> None:
@@ -190,10 +192,11 @@
             self.kill(ProcessKey(program, ip))
 
     def close(self) -> None:
-        """Kill all processes, and remove the folder."""
-        for process in self._running.values():
+        """Kill all processes that were ever started and still run, and remove the folder."""
+        for process in self._started:
             process.kill()
-        for process in self._running.values():
+        for process in self._started:
             process.wait()
+        self._started.clear()
         self._running.clear()
         self._folder.cleanup()
