Operations: a claim that was said to come second is given up by its owner

A head that has lost its place may name an owner that only its own disk has, while the next head holds the asking proxy's claim. That proxy had forgotten the claim, so every request for the operation got 502 until its record ended, though nobody had run it.

Change: unless the named owner has spoken for the operation, the proxy keeps its claim as released, and gives it up when another proxy asks. It never runs it.

Result: the new test fails before (unknown) and passes; tests of operations pass.

--- a/lilacsill/mesh/operations/operation_gate.py
+++ b/lilacsill/mesh/operations/operation_gate.py
@@ -131,11 +131,12 @@
         """Turn the decision on a claim into what the request may do, and keep the table in step."""
         if decision is ClaimOutcome.GRANTED:
             return self._run(record)
-        if decision is ClaimOutcome.UNAVAILABLE or decision is ClaimOutcome.FULL:
-            # The claim may be in force all the same, so the record stays: others may ask about it.
-            self.table.release(record, self.environment.now())
+        if decision is ClaimOutcome.IN_PROGRESS or isinstance(decision, StoredResponse):
+            self.table.discard(record)  # the other owner has spoken for the operation
         else:
-            self.table.discard(record)
+            # The claim may be in force all the same, so the record stays: others may ask about it. Even where another
+            # owner was named, it may have been by a head that has lost its place.
+            self.table.release(record, self.environment.now())
         return self._count(decision if isinstance(decision, StoredResponse) else REFUSALS[decision])
 
     def reply_to(self, query: OperationQuery) -> OperationReply:
--- a/tests/operations/test_operations.py
+++ b/tests/operations/test_operations.py
@@ -10,7 +10,7 @@
 from lilacsill.mesh.operations.operation_name import operation_name
 from lilacsill.mesh.operations.operation_table import OperationRecord, OperationTable, RecordState, Refusal
 from lilacsill.mesh.runtime.messages import ClaimReply, ClaimStatus, OperationQuery, OperationReply, OperationState
-from lilacsill.mesh.runtime.records import StoredResponse
+from lilacsill.mesh.runtime.records import OperationOwner, StoredResponse
 from tests.planted_defects import Plant, assert_is_found, broken
 
 from .world import HEAD, OTHER, PATIENCE_US, World
@@ -74,6 +74,20 @@
     assert world.request(one) == RESPONSE
 
 
+# An operation that nobody had run was answered with 502 for as long as its record lasted.
+def test_a_claim_that_was_said_to_come_second_is_given_up_by_its_owner_where_it_came_first_after_all() -> None:
+    world = World()
+    one, two = world.proxy(ONE), world.proxy(TWO)
+    stranger = OperationOwner(TWO, 9, 1)
+    world.replies[HEAD] = ClaimReply(ClaimStatus.OWNED, stranger, 1, [HEAD, OTHER])  # it has lost its place
+    assert world.request(one) is Refusal.UNKNOWN
+    del world.replies[HEAD]
+    name = operation_name("tenant", b"k")
+    world.owners[name] = OperationOwner(ONE, 1, 1)  # the claim of the first proxy, as the next head holds it
+    may_run(world.request(two)).answer(RESPONSE)
+    assert world.request(one) == RESPONSE
+
+
 def test_a_released_operation_runs_again_under_its_claim_without_a_question() -> None:
     world = World()
     one = world.proxy(ONE)
