--- a/lilacsill/mesh/operations/operation_gate.py
+++ b/lilacsill/mesh/operations/operation_gate.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 
 from lilacsill.mesh.runtime.core_members import CoreMembers
+from lilacsill.mesh.runtime.environment import Environment
 from lilacsill.mesh.runtime.messages import OperationQuery, OperationReply
 from lilacsill.mesh.runtime.records import StoredResponse
 
-from .claim_client import ClaimClient, ClaimEnvironment, ClaimOutcome, Decision, PendingClaim
+from .claim_client import ClaimClient, ClaimOutcome, Decision, PendingClaim
 from .operation_name import operation_name
 from .operation_table import OperationRecord, OperationTable, Refusal
 
@@ -23,7 +24,7 @@
 class OperationRun:
     """The right to run an operation once. Its holder reports one outcome; a second report changes nothing."""
 
-    def __init__(self, table: OperationTable, record: OperationRecord, environment: ClaimEnvironment) -> None:
+    def __init__(self, table: OperationTable, record: OperationRecord, environment: Environment) -> None:
         self._table, self._environment = table, environment
         self._record: OperationRecord | None = record  # None: the outcome is known
 
@@ -94,7 +95,7 @@
         replays: How many were answered with a stored response.
     """
 
-    def __init__(self, table: OperationTable, environment: ClaimEnvironment, members: CoreMembers) -> None:
+    def __init__(self, table: OperationTable, environment: Environment, members: CoreMembers) -> None:
         self.table, self.environment = table, environment
         self.claims = ClaimClient(environment, members, table.record_granted)
         self.replays = 0
@@ -130,11 +131,12 @@
         """Turn the decision on a claim into what the request may do, and keep the table in step."""
         if decision is ClaimOutcome.GRANTED:
             return self._run(record)
-        if decision is ClaimOutcome.UNAVAILABLE or decision is ClaimOutcome.FULL:
-            # The claim may be in force all the same, so the record stays: others may ask about it.
-            self.table.release(record, self.environment.now())
+        if decision is ClaimOutcome.IN_PROGRESS or isinstance(decision, StoredResponse):
+            self.table.discard(record)  # the other owner has spoken for the operation
         else:
-            self.table.discard(record)
+            # The claim may be in force all the same, so the record stays: others may ask about it. Even where another
+            # owner was named, it may have been by a head that has lost its place.
+            self.table.release(record, self.environment.now())
         return self._count(decision if isinstance(decision, StoredResponse) else REFUSALS[decision])
 
     def reply_to(self, query: OperationQuery) -> OperationReply:
