Simulation: a slow disk is as fast as before once its fault is over

Two faults that slow disks met on one machine (25 and 60 times: 1.5 to 3 s a sync). The model gave each save its time when it was asked for, so three facts of a view that were queued before the end of the faults were synced one by one up to 5 s after it, while the machine no longer counted as lost. The trace of the saves shows it: asked at 41.42 s, synced at 47.87 s, faults over at 42.75 s. The disk of the program commits what waits together.

Ruled out: a member that is forgotten by its predecessor (the machine asked to leave for its stalled disk and was a learner, as it should).

The rule and its bound stay: all copies are whole within CatchUpS of the end of the last fault.

--- a/tests/control/test_models.py
+++ b/tests/control/test_models.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from functools import partial
 from pathlib import Path
+from random import Random
 
 import pytest
 
@@ -12,6 +14,8 @@
 from lilacsill.mesh.simulation.schedules import drawn_faults, decode_schedule
 from lilacsill.mesh.simulation.fault_day import Plan, FaultDay
 from lilacsill.mesh.simulation.fault import Fault
+from lilacsill.mesh.simulation.network import MS, Disk, Time
+from lilacsill.mesh.store.environment import Save
 
 from ..mesh.defects import DEFECTS
 
@@ -143,6 +147,22 @@
     assert members == set(stores)
 
 
+# Guards against a day whose disk stayed slow for seconds after the fault, while the machine no longer counted as lost.
+def test_a_disk_completes_what_waits_as_usual_once_it_is_no_longer_slow() -> None:
+    time = Time()
+    disk, synced = Disk(time, Random(1), 1 * MS), list[int]()
+    disk.slow_down(1500)
+    for number in range(4):
+        disk.save(Save(facts={"n": b"%d" % number}), partial(synced.append, number))
+    time.run(2 * SECOND)
+    assert synced == []
+    disk.speed_up(1500)
+    time.run(2 * SECOND + 4 * 2 * MS)
+    assert synced == [0, 1, 2, 3] and disk.facts == {"n": b"3"}
+    time.run(20 * SECOND)
+    assert synced == [0, 1, 2, 3]
+
+
 def test_a_plan_plays_alike_again() -> None:
     plan = drawn_faults(11).plan
     days = FaultDay(plan), FaultDay(plan)
