Metrics: the library of the first fetch is loaded in a thread, so the event loop goes on

Cause: the first GET /metrics imports the encoder (0.1 s of processor time) in the event loop. Beside load that is half a second in which a store sends and answers no heartbeat, so its read lease ends, and with it quotas, claims and reads; a little longer and it is suspected. A proxy keeps all its requests waiting. Ruled out: a change of view (the view was the same all the while), a slow disk (no write was pending).

The encoder is imported in a thread; fetches that come meanwhile are answered when it is there.

--- a/lilacsill/mesh/proxy/process.py
+++ b/lilacsill/mesh/proxy/process.py
@@ -13,7 +13,7 @@
 from lilacsill.mesh.runtime.control import ControlServer, Respond
 from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import IndirectPing, Message, OperationQuery, OperationReply, Relay
-from lilacsill.mesh.runtime.metrics_server import PROXY_PORT, MetricsServer
+from lilacsill.mesh.runtime.metrics_server import PROXY_PORT, Encode, MetricsServer
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.runtime.rpc import OnReply, RpcClientPool
 from lilacsill.mesh.runtime.settings import Settings, SettingsError, load_settings
@@ -84,7 +84,7 @@
             lambda: self._config.health_path(settings.service),
             self._discovery.announce,
         )
-        self._metrics_server = MetricsServer(reactor, Address(settings.ip, PROXY_PORT), self._encode_metrics)
+        self._metrics_server = MetricsServer(reactor, Address(settings.ip, PROXY_PORT), self._load_metrics_encoder)
         self._shutdown = ShutdownSequence(
             reactor,
             settings.timing.grace_period_us,
@@ -157,12 +157,16 @@
         )
         return msgspec.json.encode(report)
 
-    def _encode_metrics(self) -> bytes:
+    def _load_metrics_encoder(self) -> Encode:
         from .metrics import encode_metrics  # the library need not be in memory where nobody fetches metrics
 
-        now = self._reactor.now()
-        return encode_metrics(
-            self._forwarder, self._gateway, self._discovery, self._failure_detector, self._shared_state, now
+        return lambda: encode_metrics(
+            self._forwarder,
+            self._gateway,
+            self._discovery,
+            self._failure_detector,
+            self._shared_state,
+            self._reactor.now(),
         )
 
     def operation(self, query: OperationQuery) -> OperationReply:
--- a/lilacsill/mesh/registry/process.py
+++ b/lilacsill/mesh/registry/process.py
@@ -12,7 +12,7 @@
 from lilacsill.mesh.runtime.incarnation import INCARNATION_ID_BYTES, incarnation_id
 from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import Gossip, Message, Poll, Status, StatusReply
-from lilacsill.mesh.runtime.metrics_server import REGISTRY_PORT, MetricsServer
+from lilacsill.mesh.runtime.metrics_server import REGISTRY_PORT, Encode, MetricsServer
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.runtime.rpc import RequestHandler, RpcClientPool, RpcServer, SendReply
 from lilacsill.mesh.runtime.settings import Settings
@@ -77,7 +77,7 @@
         }
         self._rpc_server = RpcServer(reactor, Address(settings.ip, registry_port), handlers)
         self._control_server = ControlServer(reactor, settings.listen["ControlPort"], self._operator_api.handle)
-        self._metrics_server = MetricsServer(reactor, Address(settings.ip, REGISTRY_PORT), self._encode_metrics)
+        self._metrics_server = MetricsServer(reactor, Address(settings.ip, REGISTRY_PORT), self._load_metrics_encoder)
         reactor.on_signal(signal.SIGTERM, self._shut_down)
         reactor.on_signal(signal.SIGHUP, lambda: None)  # the settings are read at a start only
         config_follower.start()
@@ -111,10 +111,10 @@
         else:
             self._reactor.stop()
 
-    def _encode_metrics(self) -> bytes:
+    def _load_metrics_encoder(self) -> Encode:
         from .metrics import encode_metrics  # the library need not be in memory where nobody fetches metrics
 
-        return encode_metrics(
+        return lambda: encode_metrics(
             self._directory, self._config, self._core_hosts, self._poll_server, self._operator_api, self._reactor.now()
         )
 
--- a/lilacsill/mesh/store/process.py
+++ b/lilacsill/mesh/store/process.py
@@ -11,7 +11,7 @@
 from lilacsill.address import Address
 from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import Message, Status, StatusReply
-from lilacsill.mesh.runtime.metrics_server import STORE_PORT, MetricsServer
+from lilacsill.mesh.runtime.metrics_server import STORE_PORT, Encode, MetricsServer
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.runtime.rpc import RequestHandler, RpcServer
 from lilacsill.mesh.runtime.settings import Settings
@@ -62,7 +62,7 @@
         environment.handlers = handlers
         self._server = RpcServer(reactor, Address(settings.ip, port), handlers)
         self._leaving: Leaving | None = None
-        self._metrics_server = MetricsServer(reactor, Address(settings.ip, STORE_PORT), self._encode_metrics)
+        self._metrics_server = MetricsServer(reactor, Address(settings.ip, STORE_PORT), self._load_metrics_encoder)
         store.start()
         reactor.on_signal(signal.SIGTERM, self._on_terminate)
         reactor.on_signal(signal.SIGHUP, lambda: None)  # a running replica has no use for new seeds
@@ -72,10 +72,10 @@
             grace_us = self._settings.timing.grace_period_us
             self._leaving = Leaving(self._store.replica, self._store.membership, grace_us, self._reactor.stop)
 
-    def _encode_metrics(self) -> bytes:
+    def _load_metrics_encoder(self) -> Encode:
         from .metrics import encode_metrics  # the library need not be in memory where nobody fetches metrics
 
-        return encode_metrics(self._store, self._reactor.now())
+        return lambda: encode_metrics(self._store, self._reactor.now())
 
     def _handle_status(self, request: Message, reply: Callable[[Message], None]) -> None:
         status = {**status_of(self._store), "log": log.tail()}
