Discovery and registries decide over an environment, not over a reactor

The proxy's discovery and the registry's follower, gossip and poll servers asked over pools of RPC clients, so a world in virtual time had to replace these pools by patches. They take an Environment (clock, timers, links) now, as quotas, operations, relays and the store do. ReactorEnvironment moves to the runtime; the store's environment is derived from it and no longer repeats it. Nothing is sent otherwise or at another time; a registry's requests share one pool as before.

--- a/lilacsill/mesh/proxy/discovery.py
+++ b/lilacsill/mesh/proxy/discovery.py
@@ -10,12 +10,10 @@
 from collections.abc import Callable, Set
 from functools import partial
 
-from lilacsill.address import parse_address
+from lilacsill.mesh.runtime.environment import Environment
 from lilacsill.mesh.runtime.freshness import FreshnessTracker
 from lilacsill.mesh.runtime.incarnation import Incarnation
 from lilacsill.mesh.runtime.messages import Endpoint, Message, Poll, PollReply
-from lilacsill.mesh.runtime.reactor import Reactor
-from lilacsill.mesh.runtime.rpc import RpcClientPool
 from lilacsill.mesh.runtime.settings import Settings
 
 from .active_config import ActiveConfig
@@ -41,7 +39,7 @@
     def __init__(
         self,
         settings: Settings,
-        reactor: Reactor,
+        environment: Environment,
         config: ActiveConfig,
         lifecycle: BackendLifecycle,
         endpoints: KnownEndpoints,
@@ -52,17 +50,16 @@
 
         Args:
             settings: The settings of the process.
-            reactor: Clock and timers.
+            environment: Clock, timers and links.
             config: Gets the configuration.
             lifecycle: The state of the own backend, to be announced.
             endpoints: Gets the endpoints of all proxies.
             suspects: The nodes that the failure detector cannot reach, at any time.
             on_update: Called after each reply of a registry.
         """
-        self._settings, self._reactor = settings, reactor
+        self._settings, self._environment = settings, environment
         self._config, self._lifecycle = config, lifecycle
         self._endpoints, self._suspects, self._on_update = endpoints, suspects, on_update
-        self._peers = RpcClientPool(reactor)
         self.registries = RegistrySelector(
             settings.node_name, {f"{seed.host}:{settings.internal_ports[0]}" for seed in settings.seeds}
         )
@@ -78,7 +75,7 @@
 
     def is_config_current(self) -> bool:
         """Return whether the configuration here is the one in force."""
-        return self.evidence.is_current(self._reactor.now())
+        return self.evidence.is_current(self._environment.now())
 
     def start(self) -> None:
         """Begin to poll."""
@@ -102,7 +99,7 @@
     def endpoint(self) -> Endpoint:
         """Return the record of this proxy and its backend."""
         lifecycle, settings = self._lifecycle, self._settings
-        warmup_left_us = lifecycle.warming_up_until - self._reactor.now()
+        warmup_left_us = lifecycle.warming_up_until - self._environment.now()
         return Endpoint(
             settings.node_name,
             self._incarnation.number,
@@ -120,8 +117,8 @@
     # Polls
 
     def _keep_polling(self) -> None:
-        self._reactor.after(POLL_CHECK_US, self._keep_polling)
-        self.registries.end_backoffs(self._reactor.now())
+        self._environment.after(POLL_CHECK_US, self._keep_polling)
+        self.registries.end_backoffs(self._environment.now())
         self._poll_missing(self.registries.selected())
 
     def _poll_missing(self, registries: list[str]) -> None:
@@ -142,9 +139,8 @@
             wait_ms,
             with_incarnations(self._suspects, self._endpoints.incarnations(self._suspects)),
         )
-        self._peers.client(parse_address(registry)).request(
-            poll, wait_ms * 1000 + REPLY_MARGIN_US, partial(self._on_reply, registry, number, self._reactor.now())
-        )
+        on_reply = partial(self._on_reply, registry, number, self._environment.now())
+        self._environment.ask(registry, poll, wait_ms * 1000 + REPLY_MARGIN_US, on_reply)
 
     def _sends_config(self, registry: str) -> bool:
         """Return whether a registry is to send the configuration.
@@ -173,7 +169,7 @@
             self._poll(registry, POLL_WAIT_MS)
 
     def _replace(self, registry: str, backoff_us: int) -> None:
-        now = self._reactor.now()
+        now = self._environment.now()
         self.registries.back_off(registry, now + backoff_us)
         self._poll_missing(self.registries.replacements(now))
 
@@ -181,7 +177,7 @@
 
     def _apply(self, registry: str, asked_at: int, reply: PollReply) -> None:
         self.registry_versions[registry] = (reply.registry_incarnation, reply.directory_version)
-        self._endpoints.apply(reply.endpoints, reply.removed, self._reactor.now())
+        self._endpoints.apply(reply.endpoints, reply.removed, self._environment.now())
         self._apply_config(registry, asked_at, reply)
         if reply.registry_addresses:
             self.registries.addresses = set(reply.registry_addresses)
@@ -198,7 +194,7 @@
             self._config.was_complete = True
             self.evidence.record(reply.freshness, asked_at)
         elif not reply.items:
-            self._reactor.after(MISSING_CONFIG_US, self._poll_if_behind, registry)
+            self._environment.after(MISSING_CONFIG_US, self._poll_if_behind, registry)
 
     def _poll_if_behind(self, registry: str) -> None:
         """Ask a registry for the configuration that it knows of, if the one that should send it has not."""
--- a/lilacsill/mesh/proxy/process.py
+++ b/lilacsill/mesh/proxy/process.py
@@ -8,14 +8,14 @@
 
 import msgspec
 
-from lilacsill.address import Address, parse_address
+from lilacsill.address import Address
 from lilacsill.http1.message import Message as Request
 from lilacsill.mesh.runtime.control import ControlServer, Respond
 from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import IndirectPing, Message, OperationQuery, OperationReply, Relay
 from lilacsill.mesh.runtime.metrics_server import PROXY_PORT, Encode, MetricsServer
 from lilacsill.mesh.runtime.reactor import Reactor
-from lilacsill.mesh.runtime.rpc import OnReply, RpcClientPool
+from lilacsill.mesh.runtime.reactor_environment import ReactorEnvironment
 from lilacsill.mesh.runtime.settings import Settings, SettingsError, load_settings
 
 from .active_config import ActiveConfig
@@ -53,7 +53,7 @@
         )
         self._discovery = DiscoveryClient(
             settings,
-            reactor,
+            ReactorEnvironment(reactor),
             self._config,
             self._lifecycle,
             self._endpoints,
@@ -180,15 +180,3 @@
     def relay(self, relay: Relay, reply: Callable[[Message], None]) -> None:
         """Ask a core machine for another proxy, and reply what it answered."""
         self._shared_state.relay_server.relay(relay, reply)
-
-
-class ReactorEnvironment:
-    """The clock, the timers and the links that decisions use in a real process."""
-
-    def __init__(self, reactor: Reactor) -> None:
-        self.now, self.after, self.call_soon = reactor.now, reactor.after, reactor.call_soon
-        self._peers = RpcClientPool(reactor)
-
-    def ask(self, address: str, message: Message, timeout_us: int, answered: OnReply) -> None:
-        """Send a question; `answered` is called once, with None if there was no answer in time."""
-        self._peers.client(parse_address(address)).request(message, timeout_us, answered)
--- a/lilacsill/mesh/registry/config_follower.py
+++ b/lilacsill/mesh/registry/config_follower.py
@@ -5,10 +5,8 @@
 from collections.abc import Callable
 from functools import partial
 
-from lilacsill.address import Address
+from lilacsill.mesh.runtime.environment import Environment
 from lilacsill.mesh.runtime.messages import Follow, FollowReply, Message
-from lilacsill.mesh.runtime.reactor import Reactor
-from lilacsill.mesh.runtime.rpc import RpcClientPool
 
 from .core_hosts import CoreHosts
 from .local_config import LocalConfig
@@ -23,9 +21,8 @@
 
     def __init__(
         self,
-        reactor: Reactor,
-        rpc_clients: RpcClientPool,
-        store: Address,
+        environment: Environment,
+        store: str,
         config: LocalConfig,
         core_hosts: CoreHosts,
         on_core_hosts: Callable[[], None],
@@ -34,16 +31,14 @@
         """Prepare to follow; `start` sends the first request.
 
         Args:
-            reactor: Keeps the time.
-            rpc_clients: Sends the requests.
+            environment: Keeps the time, and sends the requests.
             store: Address of the store's member on this machine.
             config: Is updated.
             core_hosts: Is updated.
             on_core_hosts: Called after each update of `core_hosts`.
             on_change: Called after a change of the configuration.
         """
-        self._reactor = reactor
-        self._rpc_clients = rpc_clients
+        self._environment = environment
         self._store = store
         self._config = config
         self._core_hosts = core_hosts
@@ -55,15 +50,13 @@
         self._request()
 
     def _request(self) -> None:
-        self._rpc_clients.client(self._store).request(
-            Follow(self._config.cache.seq, POLL_WAIT_MS, 0),
-            REPLY_TIMEOUT_US,
-            partial(self._on_reply, self._reactor.now()),
-        )
+        follow = Follow(self._config.cache.seq, POLL_WAIT_MS, 0)
+        on_reply = partial(self._on_reply, self._environment.now())
+        self._environment.ask(self._store, follow, REPLY_TIMEOUT_US, on_reply)
 
     def _on_reply(self, requested_at: int, reply: Message | None) -> None:
         if not isinstance(reply, FollowReply):
-            self._reactor.after(RETRY_DELAY_US, self._request)
+            self._environment.after(RETRY_DELAY_US, self._request)
             return
         update = reply.update
         if update is not None:
@@ -71,7 +64,7 @@
         self._core_hosts.replace(reply.core_addresses)
         self._on_core_hosts()
         if update is None:
-            self._reactor.after(RETRY_DELAY_US, self._request)
+            self._environment.after(RETRY_DELAY_US, self._request)
             return
         if update.seq > self._config.cache.seq:
             self._config.cache.apply(update.items, update.seq)
--- a/lilacsill/mesh/registry/gossip_client.py
+++ b/lilacsill/mesh/registry/gossip_client.py
@@ -5,10 +5,8 @@
 from functools import partial
 from typing import NamedTuple
 
-from lilacsill.address import Address
+from lilacsill.mesh.runtime.environment import Environment
 from lilacsill.mesh.runtime.messages import Gossip, GossipReply, Message
-from lilacsill.mesh.runtime.reactor import Reactor
-from lilacsill.mesh.runtime.rpc import RpcClientPool
 
 from .core_hosts import CoreHosts
 from .directory import Directory
@@ -38,8 +36,7 @@
 
     def __init__(
         self,
-        reactor: Reactor,
-        rpc_clients: RpcClientPool,
+        environment: Environment,
         core_hosts: CoreHosts,
         registry_port: int,
         directory: Directory,
@@ -48,16 +45,14 @@
         """Prepare to poll; `poll_new_hosts` begins.
 
         Args:
-            reactor: Keeps the time.
-            rpc_clients: Sends the requests.
+            environment: Keeps the time, and sends the requests.
             core_hosts: Those to poll.
             registry_port: Port of all registries.
             directory: Is updated.
             poll_server: Takes the reports of others, and notifies proxies of changes.
         """
         self.positions: dict[str, DirectoryPosition] = {}
-        self._reactor = reactor
-        self._rpc_clients = rpc_clients
+        self._environment = environment
         self._core_hosts = core_hosts
         self._registry_port = registry_port
         self._directory = directory
@@ -75,17 +70,15 @@
 
     def _request(self, host: str) -> None:
         position = self.positions.setdefault(host, UNKNOWN_POSITION)
-        self._rpc_clients.client(Address(host, self._registry_port)).request(
-            Gossip(position.incarnation, position.version, POLL_WAIT_MS),
-            REPLY_TIMEOUT_US,
-            partial(self._on_reply, host),
-        )
+        gossip = Gossip(position.incarnation, position.version, POLL_WAIT_MS)
+        on_reply = partial(self._on_reply, host)
+        self._environment.ask(f"{host}:{self._registry_port}", gossip, REPLY_TIMEOUT_US, on_reply)
 
     def _on_reply(self, host: str, reply: Message | None) -> None:
         if host not in self.positions:
             return
         if not isinstance(reply, GossipReply):
-            self._reactor.after(RETRY_DELAY_US, self._retry, host)
+            self._environment.after(RETRY_DELAY_US, self._retry, host)
             return
         self.positions[host] = DirectoryPosition(reply.registry_incarnation, reply.directory_version)
         self._take(reply)
@@ -96,7 +89,7 @@
             self._request(host)
 
     def _take(self, reply: GossipReply) -> None:
-        now = self._reactor.now()
+        now = self._environment.now()
         changed = False
         for endpoint in reply.endpoints:
             changed = self._directory.update(endpoint, now, direct=False) or changed
--- a/lilacsill/mesh/registry/gossip_server.py
+++ b/lilacsill/mesh/registry/gossip_server.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from lilacsill.mesh.runtime.environment import Environment
 from lilacsill.mesh.runtime.messages import Gossip, GossipReply
-from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.runtime.rpc import SendReply
 
 from .directory import Directory
@@ -15,14 +15,14 @@
 class GossipServer:
     """Replies to the polls of other registries."""
 
-    def __init__(self, reactor: Reactor, directory: Directory) -> None:
-        self._reactor = reactor
+    def __init__(self, environment: Environment, directory: Directory) -> None:
+        self._environment = environment
         self._directory = directory
-        self._polls: LongPolls[Gossip] = LongPolls(reactor, self._reply)
+        self._polls: LongPolls[Gossip] = LongPolls(environment, self._reply)
 
     def handle(self, gossip: Gossip, send_reply: SendReply) -> None:
         """Reply at once if there are changes, else when there are some or the wait of the other registry is over."""
-        poll = LongPoll(gossip, send_reply, self._reactor.now())
+        poll = LongPoll(gossip, send_reply, self._environment.now())
         if self._is_outdated(gossip):
             self._reply(poll)
         else:
@@ -42,7 +42,7 @@
         return self._directory.is_newer_than(gossip.registry_incarnation, gossip.directory_version)
 
     def _reply(self, poll: LongPoll[Gossip]) -> None:
-        directory, gossip, now = self._directory, poll.request, self._reactor.now()
+        directory, gossip, now = self._directory, poll.request, self._environment.now()
         changes = directory.changes_for(gossip.registry_incarnation, gossip.directory_version)
         poll.send_reply(
             GossipReply(
--- a/lilacsill/mesh/registry/local_config.py
+++ b/lilacsill/mesh/registry/local_config.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from lilacsill.mesh.runtime.environment import Environment
 from lilacsill.mesh.runtime.freshness import FreshnessTracker
-from lilacsill.mesh.runtime.reactor import Reactor
 
 from .config_cache import ConfigCache
 
@@ -18,12 +18,12 @@
         freshness: The newest proof that it is the configuration in force.
     """
 
-    def __init__(self, reactor: Reactor) -> None:
-        self._reactor = reactor
+    def __init__(self, environment: Environment) -> None:
+        self._environment = environment
         self.cache = ConfigCache()
         self.freshness = FreshnessTracker(MAX_PROOF_AGE_US)
 
     @property
     def is_current(self) -> bool:
         """Whether the copy counts as the configuration in force."""
-        return self.freshness.is_current(self._reactor.now())
+        return self.freshness.is_current(self._environment.now())
--- a/lilacsill/mesh/registry/long_polls.py
+++ b/lilacsill/mesh/registry/long_polls.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
+from lilacsill.mesh.runtime.environment import Environment
 from lilacsill.mesh.runtime.messages import Message
-from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.runtime.rpc import SendReply
 
 RequestT = TypeVar("RequestT", bound=Message)
@@ -32,14 +32,14 @@
 class LongPolls(Generic[RequestT]):
     """The requests of one kind that wait."""
 
-    def __init__(self, reactor: Reactor, reply: Callable[[LongPoll[RequestT]], None]) -> None:
+    def __init__(self, environment: Environment, reply: Callable[[LongPoll[RequestT]], None]) -> None:
         """Begin without requests.
 
         Args:
-            reactor: Keeps the time.
+            environment: Keeps the time.
             reply: Sends a reply to a poll whose time is over; the poll does not wait any more then.
         """
-        self._reactor = reactor
+        self._environment = environment
         self._reply = reply
         self._pending: dict[int, LongPoll[RequestT]] = {}
         self._last_number = 0
@@ -51,7 +51,7 @@
         """Have a poll wait for so long at most."""
         self._last_number += 1
         self._pending[self._last_number] = poll
-        self._reactor.after(wait_ms * 1000, self._expire, self._last_number)
+        self._environment.after(wait_ms * 1000, self._expire, self._last_number)
 
     def pop_where(self, is_due: Callable[[RequestT], bool]) -> list[LongPoll[RequestT]]:
         """Return the polls with such a request, the oldest first. They do not wait any more."""
--- a/lilacsill/mesh/registry/poll_server.py
+++ b/lilacsill/mesh/registry/poll_server.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from lilacsill.mesh.runtime.environment import Environment
 from lilacsill.mesh.runtime.messages import Item, Poll, PollReply, SuspicionReport
-from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.runtime.rpc import SendReply
 
 from .core_hosts import CoreHosts
@@ -19,7 +19,7 @@
 
     def __init__(
         self,
-        reactor: Reactor,
+        environment: Environment,
         directory: Directory,
         config: LocalConfig,
         core_hosts: CoreHosts,
@@ -29,21 +29,21 @@
         """Begin without polls.
 
         Args:
-            reactor: Keeps the time.
+            environment: Keeps the time.
             directory: Is updated.
             config: Proxies get its items.
             core_hosts: Proxies get their addresses.
             registry_port: Port of all registries, for these addresses.
             gossip_server: Is notified of changes and reports, too.
         """
-        self._reactor = reactor
+        self._environment = environment
         self._directory = directory
         self._config = config
         self._core_hosts = core_hosts
         self._registry_port = registry_port
         self._gossip_server = gossip_server
         self._pacer = NotificationPacer()
-        self._polls: LongPolls[Poll] = LongPolls(reactor, self._reply)
+        self._polls: LongPolls[Poll] = LongPolls(environment, self._reply)
         self._notification_pending = False
         self.replies = 0  # in this run of the process
         self.updates = 0  # endpoints, removals and items in these replies
@@ -55,7 +55,7 @@
 
     def handle(self, request: Poll, send_reply: SendReply) -> None:
         """Take what a proxy announces. Reply at once if it is outdated, else later."""
-        now = self._reactor.now()
+        now = self._environment.now()
         if self._directory.update(request.endpoint, now):
             self.notify_soon()
         reporter = request.endpoint.node
@@ -94,7 +94,7 @@
         """Have all that lack something get it, at the pace that this registry can bear."""
         if not self._notification_pending:
             self._notification_pending = True
-            self._reactor.after(self._pacer.delay_us(self._reactor.now()), self._notify)
+            self._environment.after(self._pacer.delay_us(self._environment.now()), self._notify)
 
     def _notify(self) -> None:
         self._notification_pending = False
@@ -102,7 +102,7 @@
         outdated = self._polls.pop_where(self._is_outdated)
         for poll in outdated:
             self._reply(poll)
-        self._pacer.notified(len(outdated), self._reactor.now())
+        self._pacer.notified(len(outdated), self._environment.now())
         self._gossip_server.reply_with_changes()
 
     def _is_outdated(self, request: Poll) -> bool:
@@ -141,7 +141,7 @@
                 config_seq=config_seq,
                 items=items,
                 newest_seq=cache.seq,
-                freshness=self._config.freshness.freshness_of_reply(poll.received_at, self._reactor.now()),
+                freshness=self._config.freshness.freshness_of_reply(poll.received_at, self._environment.now()),
                 registry_addresses=[f"{host}:{self._registry_port}" for host in sorted(self._core_hosts.all)],
             )
         )
--- a/lilacsill/mesh/registry/process.py
+++ b/lilacsill/mesh/registry/process.py
@@ -14,6 +14,7 @@
 from lilacsill.mesh.runtime.messages import Gossip, Message, Poll, Status, StatusReply
 from lilacsill.mesh.runtime.metrics_server import REGISTRY_PORT, Encode, MetricsServer
 from lilacsill.mesh.runtime.reactor import Reactor
+from lilacsill.mesh.runtime.reactor_environment import ReactorEnvironment
 from lilacsill.mesh.runtime.rpc import RequestHandler, RpcClientPool, RpcServer, SendReply
 from lilacsill.mesh.runtime.settings import Settings
 
@@ -49,20 +50,20 @@
         registry_port = settings.internal_ports[0]
         store = Address(settings.ip, registry_port + STORE_PORT_OFFSET)
         rpc_clients = RpcClientPool(reactor)
+        environment = ReactorEnvironment(reactor, rpc_clients)
         self._directory = Directory(incarnation_id(os.urandom(INCARNATION_ID_BYTES)))
-        self._config = LocalConfig(reactor)
+        self._config = LocalConfig(environment)
         self._core_hosts = CoreHosts(settings.ip, (seed.host for seed in settings.seeds))
-        gossip_server = GossipServer(reactor, self._directory)
+        gossip_server = GossipServer(environment, self._directory)
         self._poll_server = PollServer(
-            reactor, self._directory, self._config, self._core_hosts, registry_port, gossip_server
+            environment, self._directory, self._config, self._core_hosts, registry_port, gossip_server
         )
         self._gossip_client = GossipClient(
-            reactor, rpc_clients, self._core_hosts, registry_port, self._directory, self._poll_server
+            environment, self._core_hosts, registry_port, self._directory, self._poll_server
         )
         config_follower = ConfigFollower(
-            reactor,
-            rpc_clients,
-            store,
+            environment,
+            f"{store.host}:{store.port}",
             self._config,
             self._core_hosts,
             on_core_hosts=self._gossip_client.forget_removed_hosts,
--- a/lilacsill/mesh/store/local_environment.py
+++ b/lilacsill/mesh/store/local_environment.py
@@ -2,21 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Any
-
-from lilacsill.address import parse_address
 from lilacsill.mesh.runtime.environment import Answered
 from lilacsill.mesh.runtime.messages import Message
 from lilacsill.mesh.runtime.reactor import Reactor
-from lilacsill.mesh.runtime.rpc import RequestHandler, RpcClientPool
-from lilacsill.timers import Timer
+from lilacsill.mesh.runtime.reactor_environment import ReactorEnvironment
+from lilacsill.mesh.runtime.rpc import RequestHandler
 
 from .disk import Disk
 from .environment import Done, Save
 
 
-class LocalEnvironment:
+class LocalEnvironment(ReactorEnvironment):
     """A `ReplicaEnvironment`.
 
     Attributes:
@@ -24,28 +20,16 @@
     """
 
     def __init__(self, reactor: Reactor, disk: Disk, address: str) -> None:
-        self._reactor, self._disk, self._address = reactor, disk, address
-        self._peers = RpcClientPool(reactor)
+        super().__init__(reactor)
+        self._disk, self._address = disk, address
         self.handlers: dict[type, RequestHandler] = {}
 
-    def now(self) -> int:
-        """Return the time of the event loop in microseconds."""
-        return self._reactor.now()
-
-    def after(self, delay_us: int, call: Callable[..., None], *arguments: Any) -> Timer:
-        """Call once after the delay, unless the timer is cancelled."""
-        return self._reactor.after(delay_us, call, *arguments)
-
-    def call_soon(self, callback: Callable[..., Any], *args: Any) -> None:
-        """Call once, after the present callback has returned."""
-        self._reactor.call_soon(callback, *args)
-
     def ask(self, address: str, message: Message, timeout_us: int, answered: Answered) -> None:
         """Send a request; `answered` is called once, never from inside this call."""
         if address == self._address:
             self._ask_self(message, timeout_us, answered)
         else:
-            self._peers.client(parse_address(address)).request(message, timeout_us, answered)
+            super().ask(address, message, timeout_us, answered)
 
     def _ask_self(self, message: Message, timeout_us: int, answered: Answered) -> None:
         """Handle a request to this process like one to another machine: with a time-out, and answered later."""
--- a/tests/control/control_plane.py
+++ b/tests/control/control_plane.py
@@ -61,6 +61,9 @@
         self.machine = machine
         self.now, self.after, self.call_soon = machine.now, machine.after, machine.call_soon
 
+    def ask(self, address: str, message: Message, timeout_us: int, answered: Callable[[Message | None], None]) -> None:
+        self.machine.ask(address, message, timeout_us, answered)
+
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         pass
 
@@ -81,7 +84,6 @@
         patch.setattr(registries, "RpcClientPool", Sockets)
         patch.setattr(registries, "RpcServer", Sockets)
         patch.setattr(registries, "ControlServer", lambda reactor, address, handle: SimpleNamespace())
-        patch.setattr(discovery, "RpcClientPool", Sockets)
         self.fleet, _ = begun(seed, cores=cores, lost=lost)
         self.net, self.time, self.stores = self.fleet.net, self.fleet.net.time, self.fleet.stores
         self.registries: dict[str, registries.Process] = {}
--- a/tests/control/defects_point_1.py
+++ b/tests/control/defects_point_1.py
@@ -91,7 +91,7 @@
 
 def registries_date_by_arrival(patch: Patch) -> None:
     def on_reply(self: ConfigFollower, requested_at: int, reply: Message | None) -> None:
-        real(self, self._reactor.now(), reply)
+        real(self, self._environment.now(), reply)
 
     real = ConfigFollower._on_reply
     patch.setattr(ConfigFollower, "_on_reply", on_reply)
@@ -99,7 +99,7 @@
 
 def proxies_date_by_arrival(patch: Patch) -> None:
     def on_reply(self: DiscoveryClient, registry: str, number: int, asked_at: int, reply: Message | None) -> None:
-        real(self, registry, number, self._reactor.now(), reply)
+        real(self, registry, number, self._environment.now(), reply)
 
     real = DiscoveryClient._on_reply
     patch.setattr(DiscoveryClient, "_on_reply", on_reply)
--- a/tests/control/test_point_5_callers.py
+++ b/tests/control/test_point_5_callers.py
@@ -21,6 +21,7 @@
 from lilacsill.mesh.runtime.control import ControlServer, Respond
 from lilacsill.mesh.runtime.incarnation import INCARNATION_ID_BYTES, incarnation_id
 from lilacsill.mesh.runtime.messages import Endpoint, Follow, Freshness, Message, Patch, Poll, PollReply, Read, Reply
+from lilacsill.mesh.runtime.reactor_environment import ReactorEnvironment
 from lilacsill.mesh.runtime.rpc import RequestHandler, RpcServer, SendReply
 from lilacsill.mesh.simulation.store_fleet import Fleet, Operator, put, route
 from tests.mesh.stage import LOOPBACK, Stage, request, stage
@@ -183,7 +184,9 @@
 def discovery_client(mesh: Stage) -> DiscoveryClient:
     """The client of the proxy `me`, which updates the forwarder of the stage."""
     config, endpoints = mesh.forwarder.config, KnownEndpoints("me", mesh.forwarder.upstreams)
-    return DiscoveryClient(settings(), mesh.reactor, config, BackendLifecycle(SECOND), endpoints, set(), lambda: None)
+    return DiscoveryClient(
+        settings(), ReactorEnvironment(mesh.reactor), config, BackendLifecycle(SECOND), endpoints, set(), lambda: None
+    )
 
 
 def test_a_proxy_whose_clock_went_back_replaces_its_earlier_run_on_all_registries(
--- a/tests/mesh/shared_stage.py
+++ b/tests/mesh/shared_stage.py
@@ -14,7 +14,6 @@
 from lilacsill.mesh.proxy.client_listener import ClientListener
 from lilacsill.mesh.proxy.forwarder import Forwarder
 from lilacsill.mesh.proxy.offer_server import OfferServer
-from lilacsill.mesh.proxy.process import ReactorEnvironment
 from lilacsill.mesh.quota.quota_client import QuotaClient
 from lilacsill.mesh.relaying.core_links import CoreLinks
 from lilacsill.mesh.relaying.counters import RelayCounters
@@ -35,6 +34,7 @@
     TokenRequest,
 )
 from lilacsill.mesh.runtime.reactor import Reactor
+from lilacsill.mesh.runtime.reactor_environment import ReactorEnvironment
 from lilacsill.mesh.runtime.records import OperationOwner, TokenGrant
 from lilacsill.mesh.runtime.rpc import OnReply, RequestHandler, RpcServer, SendReply
 from lilacsill.net import reactor as watchers
