--- a/lilacsill/mesh/soak/repeats.py
+++ b/lilacsill/mesh/soak/repeats.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 from random import Random
+from typing import Protocol
 
 import msgspec
 
@@ -12,7 +14,7 @@
 from lilacsill.mesh.simulation.loopback_processes import OUTGOING_PORT
 
 from .client import AFTER_DEADLINE_US, CONNECT_TIMEOUT_US, ClientConnection, ClientWorld
-from .observations import ClientRequest, RequestEnd
+from .observations import ClientRequest, Record, RequestEnd
 from .workload import US_PER_MS
 
 MAX_ATTEMPTS = 6  # of one operation, the first one and those sent at once included
@@ -62,6 +64,24 @@
         """Do nothing: there is no further request."""
 
 
+class RepeatWorld(Protocol):
+    """What repeats need of the soak."""
+
+    record: Record
+
+    def next_attempt_id(self) -> str:
+        """Return an id that no other request has."""
+        ...
+
+    def after(self, delay_us: int, call: Callable[..., None], *arguments: object) -> object:
+        """Call something later."""
+        ...
+
+    def send_single(self, request: ClientRequest) -> None:
+        """Send a request on a connection of its own."""
+        ...
+
+
 class OperationRepeater:
     """Repeats the operations of all clients.
 
@@ -69,7 +89,7 @@
         is_over: No more operations are repeated.
     """
 
-    def __init__(self, world: ClientWorld, proxy_ips: list[str], rng: Random) -> None:
+    def __init__(self, world: RepeatWorld, proxy_ips: list[str], rng: Random) -> None:
         """Prepare; `proxy_ips` are those that repeats go to."""
         self._world, self._proxy_ips, self._rng = world, proxy_ips, rng
         self._attempts: dict[str, int] = {}  # by the key of the operation
@@ -89,7 +109,7 @@
         if not request.operation_key or self.is_over or not self._is_to_be_repeated(request):
             return
         delay_us = self._rng.randint(MIN_DELAY_US, MAX_DELAY_US)
-        self._world.reactor.after(delay_us, self._repeat, request)
+        self._world.after(delay_us, self._repeat, request)
 
     def _is_to_be_repeated(self, request: ClientRequest) -> bool:
         if request.end is RequestEnd.ANSWERED and request.status in FINAL_STATUSES:
@@ -103,14 +123,14 @@
         newest = {request.operation_key: request for request in self._world.record.requests if request.operation_key}
         for request in list(newest.values())[-CLOSING_REPEATS:]:
             for ip in self._rng.sample(self._proxy_ips, 2):
-                SingleRequest(self._world, self._copy(request, ip))
+                self._world.send_single(self._copy(request, ip))
 
     def _repeat(self, request: ClientRequest) -> None:
         attempts = self._attempts[request.operation_key]
         if attempts >= MAX_ATTEMPTS or self.is_over:
             return
         self._attempts[request.operation_key] = attempts + 1
-        SingleRequest(self._world, self._copy(request, self._rng.choice(self._proxy_ips)))
+        self._world.send_single(self._copy(request, self._rng.choice(self._proxy_ips)))
 
     def _copy(self, request: ClientRequest, ip: str) -> ClientRequest:
         """Return the same request as a new attempt that has not been sent."""
--- a/lilacsill/mesh/soak/soak_run.py
+++ b/lilacsill/mesh/soak/soak_run.py
@@ -34,7 +34,7 @@
 from .observations import ClientRequest, Record
 from .operator_client import OperatorClient
 from .process_supervisor import ProcessSupervisor
-from .repeats import OperationRepeater
+from .repeats import OperationRepeater, SingleRequest
 from .shared_judge import SharedJudge
 from .tenant_faults import TenantFaults
 from .timing_bounds import TimingBounds, draw_bounds
@@ -79,7 +79,7 @@
 
 
 class SoakRun:
-    """Plays one seed; the `ClientWorld` of its clients."""
+    """Plays one seed; the `ClientWorld` of its clients, and the `RepeatWorld` of their repeats."""
 
     def __init__(self, settings: SoakSettings) -> None:
         self.settings = settings
@@ -129,6 +129,14 @@
         self._attempts += 1
         return f"{self.settings.seed}-{self._attempts}"
 
+    def after(self, delay_us: int, call: Callable[..., None], *arguments: object) -> object:
+        """Call something later."""
+        return self.reactor.after(delay_us, call, *arguments)
+
+    def send_single(self, request: ClientRequest) -> None:
+        """Send a request on a connection of its own."""
+        SingleRequest(self, request)
+
     def on_request_sent(self, request: ClientRequest) -> None:
         """Let some operations go to several proxies at once."""
         self._repeater.on_sent(request)
