--- a/lilacsill/mesh/virtual_soak/virtual_clients.py
+++ b/lilacsill/mesh/virtual_soak/virtual_clients.py
@@ -25,6 +25,7 @@
 PAUSE_US = 350 * MS  # mean between two requests of a client
 LEAVING_SHARE = 0.03  # of the requests, whose clients leave early
 HOT_FACTOR, HOT_US = 7.5, 6 * SECOND  # a hot tenant sends so many times its rate, for longer than a window
+HOT_BURST = 4  # of its requests come to one proxy at once, so that they share a question
 
 
 class VirtualClients:
@@ -110,13 +111,14 @@
 
     # Hot tenants
 
-    def start_hot_tenant(self, number: int) -> None:
-        """Let a tenant send many times its rate, through all proxies."""
+    def start_hot_tenant(self, number: int) -> str:
+        """Let a tenant send many times its rate, through all proxies. Return its name."""
         tenant = self._customers.hot_tenant(number)
         key = self._customers.key_of(tenant.name)
         if key is not NO_KEY:
-            gap_us = int(SECOND / (HOT_FACTOR * tenant.rate_per_s))
+            gap_us = int(HOT_BURST * SECOND / (HOT_FACTOR * tenant.rate_per_s))
             self._send_hot(key, gap_us, self._time.now + HOT_US)
+        return tenant.name
 
     def _send_hot(self, key: ClientKey, gap_us: int, ends_at: int) -> None:
         now = self._time.now
@@ -124,9 +126,10 @@
             return
         reads = [route for route in self._workload.routes if route.idempotent and not route.is_public]
         host, route = self._rng.choice(self._hosts), self._rng.choice(reads)
-        request = ClientRequest(self.next_attempt_id(), host.ip, route.name, True, now, now)
-        request.tenant, request.credential = key.tenant, key.credential
-        self.send_single(request)
+        for _ in range(HOT_BURST):
+            request = ClientRequest(self.next_attempt_id(), host.ip, route.name, True, now, now)
+            request.tenant, request.credential = key.tenant, key.credential
+            self.send_single(request)
         self.after(gap_us, self._send_hot, key, gap_us, ends_at)
 
 
--- a/lilacsill/mesh/virtual_soak/virtual_faults.py
+++ b/lilacsill/mesh/virtual_soak/virtual_faults.py
@@ -45,6 +45,7 @@
     PARTITION_PROXY_FROM_CORES = "partition proxy from core machines"
     SPLIT = "partition with proxies and core machines on both sides"
     HOT_TENANT = "hot tenant"
+    LOWER_HOT_LIMIT = "lower the limit of a hot tenant"
     REVOKE_KEY = "revoke key"
     ADD_KEY = "add key"
     LOWER_LIMIT = "lower limit"
@@ -60,6 +61,7 @@
 )
 TENANT_FAULTS = (
     VirtualFault.HOT_TENANT,
+    VirtualFault.LOWER_HOT_LIMIT,
     VirtualFault.REVOKE_KEY,
     VirtualFault.ADD_KEY,
     VirtualFault.LOWER_LIMIT,
@@ -117,8 +119,10 @@
         }
         if event.fault in tenant_changes:
             self._operator.send_tenant(tenant_changes[event.fault](event.number))
-        elif event.fault is VirtualFault.HOT_TENANT:
-            self._clients.start_hot_tenant(event.number)
+        elif event.fault in (VirtualFault.HOT_TENANT, VirtualFault.LOWER_HOT_LIMIT):
+            name = self._clients.start_hot_tenant(event.number)
+            if event.fault is VirtualFault.LOWER_HOT_LIMIT:
+                self._time.after(event.for_us // 4, self._lower_limit, name)
         elif event.fault is VirtualFault.KILL_ALL_CORES:
             self.kill_all_cores(event.for_us)
         elif event.fault is VirtualFault.SPLIT:
@@ -128,6 +132,10 @@
         else:
             self._strike_proxy(event)
 
+    def _lower_limit(self, name: str) -> None:
+        names = [tenant.name for tenant in self._customers.tenants]
+        self._operator.send_tenant(self._customers.lower_limit(names.index(name)))
+
     # Core machines
 
     def _strike_core(self, event: FaultEvent) -> None:
--- a/tests/virtual_soak/defects.py
+++ b/tests/virtual_soak/defects.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from lilacsill.mesh.operations import operation_gate
+from lilacsill.mesh.operations import claim_client, operation_gate
 from lilacsill.mesh.operations.claim_client import ClaimOutcome, PendingClaim
 from lilacsill.mesh.operations.operation_name import operation_name
 from lilacsill.mesh.operations.operation_table import OperationTable, RecordState
@@ -84,6 +84,7 @@
             real(self, owner, reply)
 
     patch.setattr(PendingClaim, "_on_owner_reply", on_owner_reply)
+    patch.setattr(claim_client, "QUERY_TIMEOUT_US", 40_000)  # so that patience is left for the claim
 
 
 def operations_in_progress_run_again(patch: Patch) -> None:
