--- a/benchmarks/chain.py
+++ b/benchmarks/chain.py
@@ -1,5 +1,6 @@
-"""The chain in virtual time: what an acknowledgement costs, what calls that go together gain, how long a loss is felt,
-how long it takes to full strength, and what the size of the configuration costs.
+"""The chain in virtual time: the cost of an acknowledgement, of a loss, and of the size of the configuration.
+
+It prints what calls that go together gain, how long a loss is felt, and how long it takes to full strength.
 
     python -m benchmarks.chain [--quick]
 
@@ -13,8 +14,8 @@
 from statistics import median
 
 from benchmarks import store_size
-from lilacsill.mesh.simulation.store_fleet import Fleet, Operator, begun, put, route
 from lilacsill.mesh.simulation.network import MS, SECOND
+from lilacsill.mesh.simulation.store_fleet import Fleet, Operator, begun, put, route
 
 SYNC_US, HOP_US = 5 * MS, 750  # a sync takes 5 to 10 ms, a hop 0.5 to 1 ms
 ACK_WITHIN_MS = 4000
@@ -23,6 +24,7 @@
 
 
 def fleet_of(seed: int) -> tuple[Fleet, Operator]:
+    """Return core machines with a configuration, and an operator."""
     return begun(seed, sync_us=SYNC_US)
 
 
@@ -62,8 +64,10 @@
 
 
 def felt(seed: int, loss: str) -> float:
-    """Milliseconds from the loss to the acknowledgement of a call that is sent right after it. Cuts, stalls and freezes
-    last 20 s."""
+    """Return milliseconds from a loss to the acknowledgement of a call that is sent right after it.
+
+    Partitions, stalls and freezes last 20 s.
+    """
     fleet, operator = fleet_of(seed)
     time, net = fleet.net.time, fleet.net
     members = [m.address for m in next(iter(fleet.stores.values())).replica.view.members]
@@ -85,8 +89,11 @@
 
 
 def refill(seed: int, routes: int) -> tuple[float, int]:
-    """A member is back with an empty disk beside a state of so many routes: the longest milliseconds of a call while it
-    is taken in and filled, and the ranges that were repaired."""
+    """Fill a member that is back with an empty disk, beside a state of so many routes.
+
+    Returns:
+        The longest milliseconds of a call meanwhile, and the ranges that were repaired.
+    """
     fleet, operator = fleet_of(seed)
     time, net = fleet.net.time, fleet.net
     done: list[int] = []
@@ -112,6 +119,7 @@
 
 
 def main() -> None:
+    """Print the tables and a JSON line."""
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--quick", action="store_true", help="fewer seeds; under a minute")
     seeds = 8 if parser.parse_args().quick else 60
--- a/benchmarks/mesh_cost.py
+++ b/benchmarks/mesh_cost.py
@@ -18,6 +18,10 @@
 
 from httptools import HttpResponseParser
 
+from lilacsill.address import Address
+from lilacsill.http1.connection import Connection
+from lilacsill.http1.message import Message, Reader, encode_request
+from lilacsill.mesh.runtime.link import connect
 from lilacsill.mesh.simulation.http_call import HttpCall
 from lilacsill.mesh.simulation.loopback import SERVICE, Backend, LoopbackMesh, rules
 from lilacsill.mesh.simulation.loopback_processes import (
@@ -28,10 +32,6 @@
     ProcessKey,
     Program,
 )
-from lilacsill.mesh.runtime.link import connect
-from lilacsill.address import Address
-from lilacsill.http1.connection import Connection
-from lilacsill.http1.message import Message, Reader, encode_request
 
 READY_TIMEOUT_US = 1_500_000
 CLIENTS = 8
@@ -39,16 +39,18 @@
 
 
 def cpu_s(pid: int) -> float:
+    """Return the processor time of a process in seconds."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) * TICK_S
 
 
 def private_mb(pid: int) -> float:
+    """Return the memory that a process alone has, in MB."""
     lines = Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines()
     return sum(int(line.split()[1]) for line in lines if line.startswith(("Private_Clean", "Private_Dirty"))) / 1024
 
 
-class Kept(Connection):
+class PersistentClient(Connection):
     """A client with one connection and one request at a time."""
 
     def __init__(self, mesh: LoopbackMesh, to: Address, left: int, done: Callable[[], None]) -> None:
@@ -71,6 +73,7 @@
         self.send(encode_request(b"GET", b"/reads/a", headers))
 
     def on_data(self, data: bytes) -> None:
+        """Send the next request after each response."""
         for message in self._reader.feed(data):
             self.served += message.status == 200
             self._left -= 1
@@ -82,9 +85,9 @@
 
 
 def load(mesh: LoopbackMesh, to: Address, requests: int) -> int:
-    """Returns how many were served."""
+    """Send so many requests over all clients, and return how many were served."""
     over: list[bool] = []
-    clients = [Kept(mesh, to, requests // CLIENTS, lambda: over.append(True)) for _ in range(CLIENTS)]
+    clients = [PersistentClient(mesh, to, requests // CLIENTS, lambda: over.append(True)) for _ in range(CLIENTS)]
     assert mesh.until(lambda: len(over) == CLIENTS, 300)
     return sum(c.served for c in clients)
 
@@ -110,20 +113,23 @@
 
 
 def main() -> None:
+    """Print the figures and a JSON line."""
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--quick", action="store_true", help="fewer requests; under a minute")
     requests = 4_000 if parser.parse_args().quick else 40_000
     with LoopbackMesh(cores=3, sidecars=2) as mesh:
-        near, far = mesh.sidecars
-        mesh.backends[near].state = "draining"  # so that all requests cross
+        near_ip, far_ip = mesh.sidecars
+        mesh.backends[near_ip].state = "draining"  # so that all requests cross
         done: list[int] = []
         mesh.operate(rules(1, ["reads", "writes"]), done.append)
         assert mesh.until(lambda: done == [200], 20)
         mesh.run(2.0)
-        pids = {name: mesh.processes.pid(ProcessKey(Program.PROXY, ip)) for name, ip in (("near", near), ("far", far))}
-        load(mesh, Address(near, OUTGOING_PORT), requests // 10)  # connections are up, tables are known
+        pids = {
+            name: mesh.processes.pid(ProcessKey(Program.PROXY, ip)) for name, ip in (("near", near_ip), ("far", far_ip))
+        }
+        load(mesh, Address(near_ip, OUTGOING_PORT), requests // 10)  # connections are up, tables are known
         before = {name: cpu_s(pid) for name, pid in pids.items()}
-        served = load(mesh, Address(near, OUTGOING_PORT), requests)
+        served = load(mesh, Address(near_ip, OUTGOING_PORT), requests)
         cost = {name: 1e6 * (cpu_s(pid) - before[name]) / served for name, pid in pids.items()}
         memory = {name: private_mb(pid) for name, pid in pids.items()}
         memory |= {
@@ -143,8 +149,8 @@
         bare = 1e6 * (cpu_s(control.pid) - at) / requests
         control.stdin.close()
         control.wait()
-        mesh.processes.kill(ProcessKey(Program.PROXY, near))
-        start = ready_after(mesh, near)
+        mesh.processes.kill(ProcessKey(Program.PROXY, near_ip))
+        start = ready_after(mesh, near_ip)
     print(f"CPU a request: near {cost['near']:.0f} us, far {cost['far']:.0f} us, pass-through {bare:.0f} us")
     print(f"both ends: {(cost['near'] + cost['far']) / bare:.1f} times the control")
     print("private memory: " + ", ".join(f"{name} {mb:.1f} MB" for name, mb in memory.items()))
--- a/benchmarks/order_cost.py
+++ b/benchmarks/order_cost.py
@@ -8,8 +8,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
-from statistics import median
+from itertools import count
 from time import process_time_ns
 from typing import Any
 
@@ -21,21 +20,14 @@
 from lilacsill.mesh.store.draft import Draft
 from lilacsill.mesh.store.state import ConfigState
 
-ROUTES = (8, 500, 2_000)
-TIMES = 60
-
+from .store_size import processor_us
 
-def microseconds(call: Callable[[int], object]) -> float:
-    """The median."""
-    took = []
-    for number in range(TIMES):
-        began = process_time_ns()
-        call(number)
-        took.append(process_time_ns() - began)
-    return round(median(took) / 1_000, 1)
+ROUTES = (8, 500, 2_000)
+CALLS = 60  # of each kind
 
 
 def take(state: ConfigState, body: dict[str, Any]) -> None:
+    """Judge a call and apply it, as the head does."""
     call = calls.parse_call(msgspec.json.encode(body)).unwrap()
     draft = Draft(state)
     draft.merge(validation.apply_call(draft, call).unwrap())
@@ -43,26 +35,29 @@
 
 
 def measured(routes: int) -> dict[str, float]:
+    """Return all figures for a state of so many routes."""
     state = ConfigState()
     began = process_time_ns()
     take(state, put([route(f"r{i}", 1, f"/{i}/") for i in range(routes)], first=True))
     first = process_time_ns() - began
     before = state.size
     state.reference_count("s")
-    change = microseconds(lambda number: take(state, put([route("r3", number + 2, "/3/")])))
-    still_up = microseconds(lambda number: take(state, put([route("r5", 1, "/5/")])))
-    for version in range(TIMES + 2, 2 * MAX_VERSIONS):
+    versions = count(2)
+    change = processor_us(lambda: take(state, put([route("r3", next(versions), "/3/")])), CALLS)
+    repeat = processor_us(lambda: take(state, put([route("r5", 1, "/5/")])), CALLS)
+    for version in range(CALLS + 2, 2 * MAX_VERSIONS):
         take(state, put([route("r3", version << 20, "/3/")]))
     return {
         "first_ms": round(first / 1e6, 1),
         "change_us": change,
-        "again_us": still_up,
-        "read_us": microseconds(lambda number: state.to_json()),
+        "again_us": repeat,
+        "read_us": processor_us(state.to_json, CALLS),
         "full_record_bytes": state.size - before,
     }
 
 
 def main() -> None:
+    """Print a table and a JSON line."""
     found = {}
     print("routes  first call, ms  a change, us  again, us  read, us  full record, bytes")
     for routes in ROUTES:
--- a/benchmarks/passthrough.py
+++ b/benchmarks/passthrough.py
@@ -22,14 +22,17 @@
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
+        """Parse what came, and keep it until the message is complete."""
         self._data += data
         self._parser.feed_data(data)
 
     def on_message_complete(self) -> None:
+        """Pass the response on; the connection is free for the next request."""
         assert self.client is not None
         self.client.write(self._data)
         self.client, self._data = None, b""
@@ -44,14 +47,17 @@
         self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
+        """Parse what came, and keep it until the message is complete."""
         self._data += data
         self._parser.feed_data(data)
 
     def on_message_complete(self) -> None:
+        """Pass the request on to the next backend."""
         data, self._data, port = self._data, b"", next(self._ports)
         if self._idle[port]:
             self._forward(self._idle[port].pop(), data)
@@ -71,9 +77,10 @@
 
 
 async def serve(ports: list[int]) -> None:
+    """Forward to backends at these ports of loopback until standard input ends."""
     loop = asyncio.get_running_loop()
-    turns, idle = cycle(ports), {p: deque[Upstream]() for p in ports}
-    server = await loop.create_server(lambda: Downstream(turns, idle), "127.0.0.1", 0, backlog=512)
+    rotation, idle = cycle(ports), {p: deque[Upstream]() for p in ports}
+    server = await loop.create_server(lambda: Downstream(rotation, idle), "127.0.0.1", 0, backlog=512)
     print(server.sockets[0].getsockname()[1], flush=True)
     await loop.run_in_executor(None, sys.stdin.read)
 
--- a/benchmarks/shared_state.py
+++ b/benchmarks/shared_state.py
@@ -1,5 +1,4 @@
-"""Shared state in virtual time: how exact quotas are by the number of proxies and by loss of messages, and what
-operations that run once cost.
+"""Shared state in virtual time: how exact quotas are, and what operations that run once cost.
 
     python -m benchmarks.shared_state [--quick]
 
@@ -171,6 +170,7 @@
 
 
 def main() -> None:
+    """Print the tables, the plot and a JSON line."""
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--quick", action="store_true", help="fewer proxies, losses and claims")
     quick = parser.parse_args().quick
