--- a/review/3/play_case_3.py
+++ b/review/3/play_case_3.py
@@ -89,16 +89,14 @@
     for ip in deployment.sides:
         Backend(deployment, ip, f"i-{ip.rpartition('.')[2]}", slots=24)
     routes = [route_item("r-book", 1, "/book/", "stock", kind="writes")]
-    first = replace(routes, [service_item("stock", 1)], Limits={**LIMITS, "MaxBodyBytes": LOW})
+    limit = LOW if TROUBLE else HIGH  # without the change the limit is high from the first call on
+    first = replace(routes, [service_item("stock", 1)], Limits={**LIMITS, "MaxBodyBytes": limit})
     if operator.change("first call", first) != 200:
         raise CannotRunError("the first call was refused")
     deployment.wait_until_ready()
     time.sleep(4.0)  # all machines are in touch
 
     raised = replace(Limits={**LIMITS, "MaxBodyBytes": HIGH, "ConfigVersion": "r2"})
-    if not TROUBLE:
-        raise_limit(deployment, raised)
-        time.sleep(CONFIG_WITHIN_S + 2.0)
     grows = threading.Event()
     clients = [
         Client(deployment, ip, f"c{ip.rpartition('.')[2]}-{i}", grows)
--- a/review/common.py
+++ b/review/common.py
@@ -336,6 +336,11 @@
 def run_case(folder: Path, play: Callable[[Record], bool]) -> None:
     """Play a case and exit: 1 if `play` returns that the rule was broken, 0 if it held, 2 if it could not run."""
     record = Record(folder)
+
+    def stop(*_: object) -> None:
+        raise CannotRunError("the script was ended from outside")
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         is_broken = play(record)
     except CannotRunError as error:
