A change is accepted only while its caller waits for the response

Cause: a frozen process's kernel goes on accepting connections and data. The woken process passed the copy on, and the head took it, since refusals were remembered for 2.5 s only.

Change: Patch names the registry that received it and a random number. Before the head accepts a change, it asks that registry whether the caller still waits (not answered, younger than 0.95 s, connection open); otherwise 503. New counter, status field and log line. An older process ignores the new field of Patch; an older registry's calls are handled as before.

Changed tests: the recorded frame of Patch has one field less than Patch now, so it is compared field by field with an empty last one, and a frame with the field is added; callers of OperatorApi in tests are objects that also tell whether they wait.

--- a/lilacsill/mesh/registry/operator_api.py
+++ b/lilacsill/mesh/registry/operator_api.py
@@ -8,12 +8,13 @@
 
 from lilacsill.address import Address
 from lilacsill.http1.message import Message as Request
-from lilacsill.mesh.runtime.control import Respond
+from lilacsill.mesh.runtime.control import Respond, Responder
 from lilacsill.mesh.runtime.log_ring import log
-from lilacsill.mesh.runtime.messages import Message, Patch, Read, Reply
+from lilacsill.mesh.runtime.messages import CallerCheck, CallerCheckReply, Message, Patch, Read, Reply
 from lilacsill.mesh.runtime.reactor import Reactor
-from lilacsill.mesh.runtime.rpc import RpcClientPool
+from lilacsill.mesh.runtime.rpc import RpcClientPool, SendReply
 
+from .awaited_changes import AwaitedChanges
 from .core_hosts import CoreHosts
 
 CALL_TIMEOUT_US = 950_000  # operators get a response within one second
@@ -47,12 +48,15 @@
 class OperatorApi:
     """Handles the HTTP calls of operators."""
 
-    def __init__(self, reactor: Reactor, rpc_clients: RpcClientPool, store: Address, core_hosts: CoreHosts) -> None:
+    def __init__(
+        self, reactor: Reactor, rpc_clients: RpcClientPool, address: str, store: Address, core_hosts: CoreHosts
+    ) -> None:
         """Initialize the API.
 
         Args:
             reactor: Provides the clock.
             rpc_clients: Sends the calls to the store.
+            address: Address at which this registry receives requests from the store.
             store: Address of the store member on this machine; all members use the same port.
             core_hosts: Hosts of all store members.
         """
@@ -60,16 +64,17 @@
         self._rpc_clients = rpc_clients
         self._store = store
         self._core_hosts = core_hosts
+        self._awaited_changes = AwaitedChanges(address)
         self.responses: Counter[int] = Counter()  # responses to configuration calls, by HTTP status
         self._last_failure = (0, b"")  # status and body of the last logged response other than 200
 
-    def handle(self, request: Request, respond: Respond) -> None:
+    def handle(self, request: Request, respond: Responder) -> None:
         """Forward reads and changes of the configuration; reject all other calls."""
         path = request.target.partition(b"?")[0]
         if path == CONFIG_PATH and request.method == b"PATCH":
-            self._forward(Patch(bytes(request.body), 0), respond)
+            self._forward_change(bytes(request.body), respond)
         elif path == CONFIG_PATH and request.method == b"GET":
-            self._forward(Read(0), respond)
+            self._forward(Read(0), respond, self._reactor.now() + CALL_TIMEOUT_US)
         elif path == CONFIG_PATH:
             respond(405, b'{"Message":"PATCH or GET"}')
         elif path.startswith(SERVERS_PREFIX):
@@ -78,13 +83,27 @@
         else:
             respond(404, b'{"Message":"no such call"}')
 
-    def _forward(self, message: Message, respond: Respond) -> None:
+    def handle_caller_check(self, check: CallerCheck, send_reply: SendReply) -> None:
+        """Reply whether the caller still waits for the response to a change."""
+        send_reply(CallerCheckReply(self._awaited_changes.is_awaited(check.number, self._reactor.now())))
+
+    def _forward_change(self, body: bytes, respond: Responder) -> None:
+        deadline = self._reactor.now() + CALL_TIMEOUT_US
+        origin = self._awaited_changes.add(respond, deadline)
+
+        def remove_and_respond(status: int, body: bytes) -> None:
+            self._awaited_changes.remove(origin)
+            respond(status, body)
+
+        self._forward(Patch(body, 0, origin), remove_and_respond, deadline)
+
+    def _forward(self, message: Message, respond: Respond, deadline: int) -> None:
         def count_and_respond(status: int, body: bytes) -> None:
             self._record(status, body)
             respond(status, body)
 
         hosts = [self._store.host, *sorted(self._core_hosts.all - {self._store.host})]
-        self._try_next_host(ForwardedCall(message, count_and_respond, hosts, self._reactor.now() + CALL_TIMEOUT_US))
+        self._try_next_host(ForwardedCall(message, count_and_respond, hosts, deadline))
 
     def _record(self, status: int, body: bytes) -> None:
         self.responses[status] += 1
--- a/lilacsill/mesh/registry/process.py
+++ b/lilacsill/mesh/registry/process.py
@@ -11,7 +11,7 @@
 from lilacsill.mesh.runtime.control import ControlServer
 from lilacsill.mesh.runtime.incarnation import INCARNATION_ID_BYTES, incarnation_id
 from lilacsill.mesh.runtime.log_ring import log
-from lilacsill.mesh.runtime.messages import Gossip, Message, Poll, Status, StatusReply
+from lilacsill.mesh.runtime.messages import CallerCheck, Gossip, Message, Poll, Status, StatusReply
 from lilacsill.mesh.runtime.metrics_server import REGISTRY_PORT, Encode, MetricsServer
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.runtime.reactor_environment import ReactorEnvironment
@@ -48,6 +48,7 @@
         self._reactor = reactor
         self._grace_period_us = settings.timing.grace_period_us
         registry_port = settings.internal_ports[0]
+        address = Address(settings.ip, registry_port)
         store = Address(settings.ip, registry_port + STORE_PORT_OFFSET)
         rpc_clients = RpcClientPool(reactor)
         environment = ReactorEnvironment(reactor, rpc_clients)
@@ -69,14 +70,17 @@
             on_core_hosts=self._gossip_client.drop_removed_hosts,
             on_change=self._poll_server.schedule_notification,
         )
-        self._operator_api = OperatorApi(reactor, rpc_clients, store, self._core_hosts)
+        self._operator_api = OperatorApi(
+            reactor, rpc_clients, f"{address.host}:{address.port}", store, self._core_hosts
+        )
         self._last_check_at = reactor.now()
         handlers: dict[type, RequestHandler] = {
             Poll: self._poll_server.handle,
             Gossip: gossip_server.handle,
+            CallerCheck: self._operator_api.handle_caller_check,
             Status: self._handle_status,
         }
-        self._rpc_server = RpcServer(reactor, Address(settings.ip, registry_port), handlers)
+        self._rpc_server = RpcServer(reactor, address, handlers)
         self._control_server = ControlServer(reactor, settings.listen["ControlPort"], self._operator_api.handle)
         self._metrics_server = MetricsServer(reactor, Address(settings.ip, REGISTRY_PORT), self._load_metrics_encoder)
         reactor.on_signal(signal.SIGTERM, self._shut_down)
--- a/lilacsill/mesh/runtime/control.py
+++ b/lilacsill/mesh/runtime/control.py
@@ -5,6 +5,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from typing import Protocol
 
 from httptools import HttpRequestParser
 
@@ -22,7 +23,21 @@
 
 Respond = Callable[[int, bytes], None]
 """Takes the HTTP status and the JSON body of a response."""
-Handle = Callable[[Message, Respond], None]
+
+
+class Responder(Protocol):
+    """Sends the response to one request, and tells whether the caller still waits for it."""
+
+    def __call__(self, status: int, body: bytes) -> None:
+        """Send the response."""
+        ...
+
+    def is_awaited(self) -> bool:
+        """Return whether there is no response yet and the caller has not closed its connection."""
+        ...
+
+
+Handle = Callable[[Message, Responder], None]
 """Handles a request, and responds to it at once or later."""
 
 
@@ -119,24 +134,16 @@
     def _handle(self, request: Message) -> None:
         self._handling = True
         self._idle_timer.cancel()  # the timer limits the time between requests, not the time for a response
-        responded = False
-
-        def respond(status: int, body: bytes) -> None:
-            nonlocal responded
-            if responded:
-                log.warning("dropping a second response to one request: HTTP %d", status)
-                return
-            responded = True
-            self._respond(request, status, body)
-
+        responder = _ConnectionResponder(self, request)
         try:
-            self._server.handle(request, respond)
+            self._server.handle(request, responder)
         except Exception:
             log.exception("unhandled exception in a request handler")
-            if not responded:
-                respond(500, FAILED_BODY)
+            if not responder.responded:
+                responder(500, FAILED_BODY)
 
-    def _respond(self, request: Message, status: int, body: bytes) -> None:
+    def respond(self, request: Message, status: int, body: bytes) -> None:
+        """Send the response to the request that is being handled, and go on with the next request."""
         self._handling = False
         if not self.open:
             return
@@ -150,3 +157,25 @@
             self.close()
         else:
             self._handle_next()
+
+
+class _ConnectionResponder:
+    """The `Responder` of one request on a connection."""
+
+    __slots__ = ("_connection", "_request", "responded")
+
+    def __init__(self, connection: ControlConnection, request: Message) -> None:
+        self._connection = connection
+        self._request = request
+        self.responded = False
+
+    def __call__(self, status: int, body: bytes) -> None:
+        if self.responded:
+            log.warning("dropping a second response to one request: HTTP %d", status)
+            return
+        self.responded = True
+        self._connection.respond(self._request, status, body)
+
+    def is_awaited(self) -> bool:
+        # The kernel is asked as well, because the event loop may not have read the caller's close yet.
+        return not self.responded and self._connection.open and self._connection.nothing_to_read()
--- a/lilacsill/mesh/runtime/messages/__init__.py
+++ b/lilacsill/mesh/runtime/messages/__init__.py
@@ -26,7 +26,19 @@
     View,
 )
 from .base import Headers, Message
-from .configuration import ConfigUpdate, Follow, FollowReply, Patch, Read, Reply, Status, StatusReply
+from .configuration import (
+    CallerCheck,
+    CallerCheckReply,
+    CallOrigin,
+    ConfigUpdate,
+    Follow,
+    FollowReply,
+    Patch,
+    Read,
+    Reply,
+    Status,
+    StatusReply,
+)
 from .consensus import (
     Accept,
     Accepted,
@@ -82,6 +94,8 @@
     | Replicate
     | ReplicateReply
     | Patch
+    | CallerCheck
+    | CallerCheckReply
     | Read
     | Reply
     | Follow
@@ -128,6 +142,9 @@
     "BadMessage",
     "Ballot",
     "BodyChunk",
+    "CallOrigin",
+    "CallerCheck",
+    "CallerCheckReply",
     "Claim",
     "ClaimReply",
     "ClaimStatus",
--- a/lilacsill/mesh/runtime/messages/configuration.py
+++ b/lilacsill/mesh/runtime/messages/configuration.py
@@ -8,11 +8,31 @@
 from .base import Message
 
 
+class CallOrigin(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """Identifies a call at the registry that received it from its caller."""
+
+    registry: str  # address of the registry
+    number: int  # unique among all calls of the registry, also of earlier runs
+
+
 class Patch(Message):
     """An operator's change of the configuration."""
 
     body: bytes  # JSON
     hops: int  # number of times that the request was forwarded
+    origin: CallOrigin | None = None  # None: from a sender that cannot be asked whether the caller still waits
+
+
+class CallerCheck(Message):
+    """Question to a registry: does the caller still wait for the response to a call?"""
+
+    number: int  # of the `CallOrigin`
+
+
+class CallerCheckReply(Message):
+    """The reply to `CallerCheck`."""
+
+    is_waiting: bool
 
 
 class Read(Message):
--- a/lilacsill/mesh/simulation/order_scenarios.py
+++ b/lilacsill/mesh/simulation/order_scenarios.py
@@ -13,9 +13,9 @@
 
 import msgspec
 
-from lilacsill.mesh.runtime.messages import Message, Patch
+from lilacsill.mesh.runtime.messages import CallerCheck, CallerCheckReply, CallOrigin, Message, Patch, Reply
 
-from .network import MS, SECOND
+from .network import MS, SECOND, Machine
 from .order_history import Caller, History
 from .store_fleet import Fleet, Operator, RuleBroken, begun, put, route
 
@@ -207,6 +207,82 @@
     expect(caller, head, order, 200)
 
 
+class Registry:
+    """A registry that forwards one call, and replies whether the caller still waits for the response to it."""
+
+    ADDRESS, NUMBER = "registry", 7
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.is_caller_waiting = True
+        self.checks = 0
+        self.answers: list[Message | None] = []
+        self._fleet = fleet
+        self._machine = fleet.net.machines[self.ADDRESS] = Machine(fleet.net, self.ADDRESS, 1)
+        self._machine.begin()
+        self._machine.handlers = {CallerCheck: self._handle_caller_check}
+
+    def forward(self, to: str, body: dict[str, Any]) -> None:
+        """Forward the call to a member of the store."""
+        patch = Patch(msgspec.json.encode(body), 0, CallOrigin(self.ADDRESS, self.NUMBER))
+        self._machine.ask(to, patch, SECOND, self.answers.append)
+
+    def statuses(self) -> list[int]:
+        """Return the statuses of the answers so far; 0: there was none in time."""
+        return [answer.status if isinstance(answer, Reply) else 0 for answer in self.answers]
+
+    def stop(self) -> None:
+        """Take the registry away."""
+        self._machine.end(power=False)
+
+    def _handle_caller_check(self, check: CallerCheck, reply: Callable[[Message], None]) -> None:
+        self.checks += 1
+        reply(CallerCheckReply(self.is_caller_waiting and check.number == self.NUMBER))
+
+
+def a_copy_whose_caller_has_left(seed: int) -> None:
+    """A suspended member keeps a copy for longer than refusals are remembered, or another member leads by then."""
+    fleet, (caller,) = opened(seed)
+    head, relay = members(fleet)[0], members(fleet)[1 + seed % 2]
+    registry = Registry(fleet)
+    order = put([route("q", 2, "/q/", "new")])
+    fleet.net.machines[relay].frozen_until = fleet.net.time.now + BACK_US
+    registry.forward(relay, order)
+    run(fleet, SECOND)
+    registry.is_caller_waiting = False
+    expect(caller, head, order, 400)
+    expect(caller, head, with_services({}, [("new", 2)], []), 200)
+    run(fleet, 2 * BACK_US)
+    caller.read()
+    fleet.net.machines[head].end(power=True)
+    run(fleet, AWAY_US)
+    registry.forward(relay, order)
+    run(fleet, SECOND)
+    caller.read()
+    if registry.checks < 2 or 200 in registry.statuses():
+        raise RuleBroken(f"a call whose caller has left is answered {registry.statuses()}")
+    fleet.start(head)
+    run(fleet, BACK_US)
+    registry.is_caller_waiting = True
+    registry.forward(relay, order)
+    run(fleet, SECOND)
+    if registry.statuses()[-1] != 200:
+        raise RuleBroken(f"a call whose caller waits is answered {registry.statuses()}")
+
+
+def a_call_whose_registry_is_gone(seed: int) -> None:
+    """Nobody knows whether the caller waits: the call is not accepted, and its caller tries another registry."""
+    fleet, (caller,) = opened(seed)
+    registry = Registry(fleet)
+    order = put([route("q", 2, "/q/")])
+    registry.forward(members(fleet)[seed % 3], order)
+    registry.stop()
+    run(fleet, BACK_US)
+    known = {rule["Name"] for listener in caller.read()["Listeners"] for rule in listener["Policy"]}
+    if "q" in known:
+        raise RuleBroken("a call is accepted though nobody knows whether its caller waits")
+    expect(caller, members(fleet)[0], order, 200)
+
+
 def versions_beyond_the_record(seed: int) -> None:
     """More versions of one item than are remembered: what is forgotten gets neither yes nor no."""
     fleet, (caller,) = opened(seed)
@@ -328,6 +404,8 @@
     every_member_leads_once,
     a_refusal_rests_on_nothing_that_may_be_lost,
     a_late_copy_of_a_refused_order,
+    a_copy_whose_caller_has_left,
+    a_call_whose_registry_is_gone,
     versions_beyond_the_record,
     a_stalled_disk,
     eight_at_once,
--- a/lilacsill/mesh/store/frontend.py
+++ b/lilacsill/mesh/store/frontend.py
@@ -7,14 +7,16 @@
 from __future__ import annotations
 
 from collections import Counter
+from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from lilacsill.mesh.runtime.callbacks import once
 from lilacsill.mesh.runtime.log_ring import log
-from lilacsill.mesh.runtime.messages import Confirm, Confirmed, Item, Member, Patch, Read, Reply
+from lilacsill.mesh.runtime.messages import CallOrigin, Confirm, Confirmed, Item, Member, Patch, Read, Reply
 
+from .caller_check import check_caller
 from .chain import Chain
 from .commit_check import CommitCheck
 from .draft import Draft
@@ -32,6 +34,7 @@
 DEFAULT_MAX_STATE_BYTES = 64 << 20  # if the settings do not give the size of the disk
 MAX_REPORTED_REJECTIONS = 16
 REJECTED_RECENTLY = Reply(503, b'{"Message":"it was refused a moment ago; send it again"}')
+CALLER_LEFT = Reply(503, b'{"Message":"the caller no longer waits"}')
 OVERLOADED = Reply(503, b'{"Message":"too many calls at once"}')
 
 
@@ -50,16 +53,19 @@
         max_state_bytes: Calls that enlarge the state beyond this size are rejected.
         rejections: Status and reason of the latest rejected calls, newest last, for operators.
         rejected: Number of rejected calls in this run of the process, by type of rejection.
+        abandoned: Number of calls that were not accepted because their callers had left.
     """
 
     def __init__(self, replica: Replica, chain: Chain, commit_check: CommitCheck) -> None:
         self._replica, self._environment, self._chain = replica, replica.environment, chain
         self._commit_check = commit_check
+        self._checked_calls = 0  # whose callers are being checked
         self._waiting_calls: list[_WaitingCall] = []
         self._recent_refusals = RecentRefusals()
         self.max_state_bytes = DEFAULT_MAX_STATE_BYTES
         self.rejections: list[str] = []
         self.rejected: Counter[str] = Counter()
+        self.abandoned = 0
         self._forwarding = Forwarding(replica)
         replica.view_listeners.append(self._on_view)
 
@@ -80,13 +86,29 @@
             rejection = self._rejection(parsed.failure())
             self._commit_check.confirm(lambda ok: reply(rejection if ok else OUTCOME_UNKNOWN))
             return
-        if len(self._waiting_calls) >= MAX_WAITING_CALLS:
+        if self._checked_calls + len(self._waiting_calls) >= MAX_WAITING_CALLS:
             reply(OVERLOADED)
             return
         answer = once(reply)
         self._environment.after(CALL_TIMEOUT_US, answer, OUTCOME_UNKNOWN)
-        self._waiting_calls.append(_WaitingCall(request.body, parsed.unwrap(), answer))
-        self.append_waiting_calls()
+        call = _WaitingCall(request.body, parsed.unwrap(), answer)
+        self._checked_calls += 1
+        on_checked = partial(self._on_caller_checked, call, request.origin, replica.view.number)
+        check_caller(self._environment, request.origin, on_checked)
+
+    def _on_caller_checked(
+        self, call: _WaitingCall, origin: CallOrigin | None, view_number: int, is_waiting: bool
+    ) -> None:
+        self._checked_calls -= 1
+        if not is_waiting and origin is not None:
+            self.abandoned += 1
+            log.info("call not accepted: no caller waits for it at registry %s", origin.registry)
+            call.reply(CALLER_LEFT)
+        elif self._replica.view.number != view_number:
+            call.reply(OUTCOME_UNKNOWN)
+        else:
+            self._waiting_calls.append(call)
+            self.append_waiting_calls()
 
     def append_waiting_calls(self) -> None:
         """Validate all waiting calls, each on top of the earlier ones, and replicate their changes together."""
--- a/lilacsill/mesh/store/metrics.py
+++ b/lilacsill/mesh/store/metrics.py
@@ -53,6 +53,8 @@
     text.gauge("oldest_save_age_seconds", "Age of the oldest write that the disk has not done", save_age_us / US_PER_S)
     rejected = store.frontend.rejected
     text.counter_by("reason", "calls_rejected", "Calls of operators that this head refused, by reason", rejected)
+    abandoned = store.frontend.abandoned
+    text.counter("calls_abandoned", "Calls that were not accepted because their callers had left", abandoned)
     text.counter("repairs", "Repairs of the successor", chain.successor.repair_count)
 
 
--- a/lilacsill/mesh/store/recent_refusals.py
+++ b/lilacsill/mesh/store/recent_refusals.py
@@ -1,16 +1,18 @@
 """Recently refused calls, so that a delayed duplicate of a refused call is not accepted. No I/O.
 
-A relay that receives no reply in time retries while the first copy of the call may still be in flight on a connection,
-which drops data that the peer does not accept within 1.5 s. If another change makes the call valid in the meantime, the
-delayed copy would apply a change that its caller has been told was refused. A caller that deliberately repeats the call
-gets no definite reply until the retention time has passed; then the call is accepted.
+The head accepts a call only if its caller still waits (`caller_check`). When the reply to that question arrives, it may
+be out of date: the caller may have left and have been told at another registry that the call is refused. If another
+change makes the call valid in the meantime, the copy would apply a change that was refused. The same holds for the
+calls of a sender that cannot be asked, as long as a copy is in flight for no longer than the retention time. A caller
+that deliberately repeats the call gets no definite reply until the retention time has passed. Then the call is
+accepted.
 """
 
 from __future__ import annotations
 
 from xxhash import xxh3_64_intdigest
 
-RETENTION_US = 2_500_000  # two relays wait up to 0.85 s each, and a connection drops an unaccepted call after 1.5 s
+RETENTION_US = 2_500_000  # longer than the time-out of a caller check
 MAX_CALLS = 256  # beyond this, the oldest call is evicted
 
 
--- a/lilacsill/mesh/store/status.py
+++ b/lilacsill/mesh/store/status.py
@@ -37,6 +37,7 @@
         "oldest_save_age_ms": replica.environment.oldest_save_age_us() // US_PER_MS,
         "peers": membership.peers(),
         "rejections": store.frontend.rejections,
+        "abandoned_calls": store.frontend.abandoned,
         "repairs": chain.repairs,
         "quotas": _quotas(store),
     }
--- a/tests/control/defects_point_2.py
+++ b/tests/control/defects_point_2.py
@@ -8,10 +8,12 @@
 import msgspec
 import pytest
 
-from lilacsill.mesh.runtime.messages import Item, Message, Replicate
+from lilacsill.mesh.runtime.environment import Environment, OnReply
+from lilacsill.mesh.runtime.messages import CallerCheck, CallerCheckReply, CallOrigin, Item, Message, Replicate
 from lilacsill.mesh.simulation import network
 from lilacsill.mesh.store import accepted_changes, draft, frontend, route_index, validation
 from lilacsill.mesh.store.accepted_changes import ChangeKind, VersionHistory, without_history
+from lilacsill.mesh.store.caller_check import TIMEOUT_US
 from lilacsill.mesh.store.environment import Save
 from lilacsill.mesh.store.predecessor import PredecessorLink
 from lilacsill.mesh.store.recent_refusals import RecentRefusals
@@ -102,6 +104,20 @@
     patch.setattr(RecentRefusals, "includes", lambda self, call, now: False)
 
 
+def callers_are_not_checked(patch: Patch) -> None:
+    patch.setattr(frontend, "check_caller", lambda environment, origin, done: done(True))
+
+
+def a_registry_that_is_gone_counts_as_a_caller_that_waits(patch: Patch) -> None:
+    def check_caller(environment: Environment, origin: CallOrigin | None, done: Callable[[bool], None]) -> None:
+        if origin is None:
+            return done(True)
+        on_reply: OnReply = lambda reply: done(not isinstance(reply, CallerCheckReply) or reply.is_waiting)  # noqa: E731
+        return environment.ask(origin.registry, CallerCheck(origin.number), TIMEOUT_US, on_reply)
+
+    patch.setattr(frontend, "check_caller", check_caller)
+
+
 def forgotten_versions_are_confirmed(patch: Patch) -> None:
     def classify_change(current: Item | None, version: int, content: Any) -> ChangeKind:
         verdict = real(current, version, content)
@@ -142,6 +158,8 @@
     a_removal_is_no_content,
     a_refusal_waits_for_nobody,
     refused_calls_are_not_remembered,
+    callers_are_not_checked,
+    a_registry_that_is_gone_counts_as_a_caller_that_waits,
     forgotten_versions_are_confirmed,
     the_record_keeps_too_few_versions,
     a_place_is_never_free_again,
--- a/tests/control/test_point_1_leases.py
+++ b/tests/control/test_point_1_leases.py
@@ -257,11 +257,17 @@
     plane.run(300 * MS)
     answers: list[tuple[int, int]] = []
     asked_at = plane.time.now
+
+    class Caller:
+        def __call__(self, status: int, body: bytes) -> None:
+            answers.append((status, plane.time.now - asked_at))
+
+        def is_awaited(self) -> bool:
+            return True
+
     for method in (b"PATCH", b"GET"):
         request: Any = SimpleNamespace(target=b"/api/config", method=method, body=b"{}")
-        plane.registries[ip_of(tail)]._operator_api.handle(
-            request, lambda status, body: answers.append((status, plane.time.now - asked_at))
-        )
+        plane.registries[ip_of(tail)]._operator_api.handle(request, Caller())
     plane.run(2 * SECOND)
     assert [status for status, _ in answers] == [503, 503] and max(took for _, took in answers) < CALL_US
 
--- a/tests/mesh/test_messages.py
+++ b/tests/mesh/test_messages.py
@@ -4,6 +4,7 @@
 
 import json
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import pytest
@@ -12,6 +13,8 @@
 from lilacsill.mesh.runtime.messages import AnyMessage, Endpoint, EndpointState, Offer, Poll, Replicate, decode, encode
 
 RECORDED = json.loads((Path(__file__).parent / "data" / "frames_of_version_0_1.json").read_text())
+OLDER = [recorded for recorded in RECORDED if "added_fields" in recorded]  # than the last fields of their message
+CURRENT = [recorded for recorded in RECORDED if "added_fields" not in recorded]
 
 
 def payload_of(recorded: dict[str, str]) -> bytes:
@@ -19,7 +22,7 @@
     return payload
 
 
-@pytest.mark.parametrize("recorded", RECORDED, ids=lambda recorded: str(recorded["message"]))
+@pytest.mark.parametrize("recorded", CURRENT, ids=lambda recorded: str(recorded["message"]))
 def test_a_recorded_frame_is_decoded_and_encoded_to_the_same_bytes(recorded: dict[str, str]) -> None:
     ((number, payload),) = FrameDecoder().feed(bytes.fromhex(recorded["frame"]))
     message = decode(payload)
@@ -29,9 +32,27 @@
     assert len(fields) == len(message.__struct_fields__)
 
 
+@pytest.mark.parametrize("recorded", OLDER, ids=lambda recorded: str(recorded["message"]))
+def test_a_frame_without_the_last_fields_is_encoded_to_the_same_fields_and_those_empty(recorded: Any) -> None:
+    message = decode(payload_of(recorded))
+    tag, *fields = msgspec.msgpack.decode(payload_of(recorded))
+    assert tag == recorded["message"] == type(message).__struct_config__.tag
+    assert msgspec.msgpack.decode(encode(message)) == [tag, *fields, *[None] * recorded["added_fields"]]
+    assert len(fields) + recorded["added_fields"] == len(message.__struct_fields__)
+
+
+def test_a_process_of_the_version_before_reads_a_patch_with_its_origin() -> None:
+    class Patch(msgspec.Struct, array_like=True, tag=True):
+        body: bytes
+        hops: int
+
+    frame = payload_of(next(recorded for recorded in CURRENT if recorded["message"] == "Patch"))
+    assert msgspec.msgpack.decode(frame, type=Patch) == Patch(b'{"Items":[]}', 1)
+
+
 def test_every_message_has_a_recorded_frame() -> None:
     tags = {message.__struct_config__.tag for message in AnyMessage.__args__}
-    assert tags == {recorded["message"] for recorded in RECORDED}
+    assert tags == {recorded["message"] for recorded in CURRENT}
 
 
 def test_fields_of_an_offer_keep_their_order() -> None:
--- a/tests/mesh/test_operator_api.py
+++ b/tests/mesh/test_operator_api.py
@@ -11,9 +11,10 @@
 from lilacsill.address import Address
 from lilacsill.mesh.registry.core_hosts import CoreHosts
 from lilacsill.mesh.registry.operator_api import CALL_TIMEOUT_US, MIN_ATTEMPT_US, OperatorApi
-from lilacsill.mesh.runtime.messages import Message, Patch, Read, Reply
+from lilacsill.mesh.runtime.messages import CallerCheck, CallerCheckReply, Message, Patch, Read, Reply
 
 OnReply = Callable[[Message | None], None]
+ADDRESS = "b:0"  # of the registry, for requests from the store
 
 
 class Stores:
@@ -38,22 +39,83 @@
         return [host for host, _ in self.requests]
 
 
+class Caller:
+    """A `Responder` that keeps the responses."""
+
+    def __init__(self) -> None:
+        self.responses: list[tuple[int, bytes]] = []
+        self.is_connected = True
+
+    def __call__(self, status: int, body: bytes) -> None:
+        self.responses.append((status, body))
+
+    def is_awaited(self) -> bool:
+        return self.is_connected and not self.responses
+
+
+def api_on(stores: Any) -> OperatorApi:
+    """Return the API of the registry on host b."""
+    reactor: Any = SimpleNamespace(now=lambda: stores.now_us)
+    return OperatorApi(reactor, stores, ADDRESS, Address("b", 1), CoreHosts("b", ["c", "a"]))
+
+
 def call(stores: Stores, method: bytes, target: bytes) -> list[tuple[int, bytes]]:
     """Make a call to the registry on host b, and return the responses."""
-    responses: list[tuple[int, bytes]] = []
-    reactor: Any = SimpleNamespace(now=lambda: stores.now_us)
-    rpc_clients: Any = stores
-    api = OperatorApi(reactor, rpc_clients, Address("b", 1), CoreHosts("b", ["c", "a"]))
+    caller = Caller()
     request: Any = SimpleNamespace(method=method, target=target, body=b"body")
-    api.handle(request, lambda status, body: responses.append((status, body)))
-    return responses
+    api_on(stores).handle(request, caller)
+    return caller.responses
 
 
-@pytest.mark.parametrize(("method", "message"), [(b"PATCH", Patch(b"body", 0)), (b"GET", Read(0))])
-def test_a_change_and_a_read_go_to_the_store_on_this_machine(method: bytes, message: Message) -> None:
+def test_a_change_and_a_read_go_to_the_store_on_this_machine() -> None:
     stores = Stores(b=Reply(200, b"{}"))
-    assert call(stores, method, b"/api/config?x=1") == [(200, b"{}")]
-    assert stores.requests == [("b", message)]
+    for method in (b"PATCH", b"GET"):
+        assert call(stores, method, b"/api/config?x=1") == [(200, b"{}")]
+    patch = stores.requests[0][1]
+    assert isinstance(patch, Patch) and patch.origin is not None and patch.origin.registry == ADDRESS
+    assert stores.requests == [("b", Patch(b"body", 0, patch.origin)), ("b", Read(0))]
+
+
+class WaitingStores(Stores):
+    """Members of the store that reply when the test wants it."""
+
+    def client(self, address: Address) -> SimpleNamespace:
+        def request(message: Message, timeout_us: int, on_reply: OnReply) -> None:
+            self.requests.append((address.host, message))
+            self.on_reply = on_reply
+
+        return SimpleNamespace(request=request)
+
+
+def test_a_registry_knows_whether_the_caller_of_a_change_still_waits() -> None:
+    """Guards against a change that is accepted for a caller that has left (review, case 1)."""
+    stores, caller = WaitingStores(), Caller()
+    api = api_on(stores)
+    request: Any = SimpleNamespace(method=b"PATCH", target=b"/api/config", body=b"body")
+    api.handle(request, caller)
+    ((_, patch),) = stores.requests
+    assert isinstance(patch, Patch) and patch.origin is not None
+    number = patch.origin.number
+
+    def is_waiting(number: int) -> bool:
+        replies: list[Message] = []
+        api.handle_caller_check(CallerCheck(number), replies.append)
+        (reply,) = replies
+        assert isinstance(reply, CallerCheckReply)
+        return reply.is_waiting
+
+    assert is_waiting(number) and not is_waiting(number + 1)
+    caller.is_connected = False
+    assert not is_waiting(number)
+    caller.is_connected = True
+    stores.now_us = CALL_TIMEOUT_US  # the timers of a process that was suspended run late
+    assert not is_waiting(number)
+    stores.now_us = CALL_TIMEOUT_US - 1
+    assert is_waiting(number)
+    stores.on_reply(Reply(200, b"{}"))
+    assert caller.responses == [(200, b"{}")]
+    caller.responses.clear()
+    assert not is_waiting(number), "a change with a response is forgotten"
 
 
 def test_a_call_without_a_reply_goes_to_the_other_members_in_order() -> None:
--- a/tests/mesh/test_refused_calls.py
+++ b/tests/mesh/test_refused_calls.py
@@ -18,6 +18,8 @@
 from lilacsill.mesh.store import frontend
 from lilacsill.mesh.store.metrics import encode_metrics
 
+from .test_operator_api import Caller
+
 INVALID: dict[str, Any] = {"ReplaceItems": {"Unknown": []}}
 REASON = "400: ReplaceItems.Unknown: unknown field"
 
@@ -48,10 +50,10 @@
     client = SimpleNamespace(request=lambda message, timeout_us, on_reply: on_reply(replies.pop(0)))
     reactor: Any = SimpleNamespace(now=lambda: 0)
     rpc_clients: Any = SimpleNamespace(client=lambda address: client)
-    api = OperatorApi(reactor, rpc_clients, Address("a", 1), CoreHosts("a", []))
+    api = OperatorApi(reactor, rpc_clients, "a:0", Address("a", 1), CoreHosts("a", []))
     call: Any = SimpleNamespace(method=b"PATCH", target=b"/api/config", body=b"{}")
     for _ in range(4):
-        api.handle(call, lambda status, body: None)
+        api.handle(call, Caller())
     first, second = lines(ring)
     assert first == "operator call failed with HTTP 400: first"
     assert second.startswith("operator call failed with HTTP 400: second") and len(second) < 500
