Changed limits of bodies and heads apply to connections that clients keep

Cause: ClientConnection read the limits when it was accepted, and its Reader kept them for the life of the connection.

Change: each read compares the limits in force with those of the connection, and Reader.set_limits takes new ones. A message keeps the higher of the limits with which it began and those that came since, so neither a raised nor a lowered limit ends a request that is arriving.

Three planted defects are found. The defect that fixes the limit of heads sets the reader's new attribute.

--- a/lilacsill/http1/message.py
+++ b/lilacsill/http1/message.py
@@ -109,8 +109,9 @@
             head_limit: The maximum size of a head, in bytes.
         """
         self._parser = parser(self)
-        self._body_limit, self._until_close, self._keep_header_lines = body_limit, until_close, keep_header_lines
-        self._head_limit = head_limit
+        self._until_close, self._keep_header_lines = until_close, keep_header_lines
+        self._body_limit, self._head_limit = body_limit, head_limit  # of the current message
+        self._next_body_limit, self._next_head_limit = body_limit, head_limit
         self._complete: list[Message] = []
         self.in_body = False
         self._head_bytes = 0  # bytes of the parsed lines of the current head
@@ -119,6 +120,17 @@
         self.current: Message | None = None  # the message being received, if any
         self.error: InvalidMessageError | None = None
 
+    def set_limits(self, body_limit: int, head_limit: int) -> None:
+        """Change the maximum sizes. Those of a message that is being received are raised, but never lowered.
+
+        Args:
+            body_limit: The maximum size of a body, in bytes.
+            head_limit: The maximum size of a head, in bytes.
+        """
+        self._next_body_limit, self._next_head_limit = body_limit, head_limit
+        self._body_limit = max(self._body_limit, body_limit)
+        self._head_limit = max(self._head_limit, head_limit)
+
     def feed(self, data: bytes) -> list[Message]:
         """Return the messages that these bytes complete; set `error` if the bytes after them are invalid."""
         if self.error is not None:
@@ -159,6 +171,7 @@
     def on_message_begin(self) -> None:
         """Start the next message."""
         self.current, self.in_body = Message(), False
+        self._body_limit, self._head_limit = self._next_body_limit, self._next_head_limit
         if self._keep_header_lines:
             self.current.header_lines = []
         self._head_bytes = self._unparsed_head_bytes = 0
--- a/lilacsill/mesh/proxy/client_connection.py
+++ b/lilacsill/mesh/proxy/client_connection.py
@@ -42,7 +42,7 @@
     def __init__(self, owner: ConnectionOwner) -> None:
         super().__init__()
         self._owner = owner
-        limits = owner.forwarder.config.limits
+        self._limits = limits = owner.forwarder.config.limits
         self._reader = Reader(
             HttpRequestParser, limits.max_body_bytes, keep_header_lines=True, head_limit=limits.max_head_bytes
         )
@@ -62,6 +62,7 @@
 
     def on_data(self, data: bytes) -> None:
         """Handle bytes from the client."""
+        self._apply_limits()
         complete = self._reader.feed(data)
         if self._upload is not None:
             complete = self._continue_upload(self._upload, complete)
@@ -76,6 +77,13 @@
         if current is not None and self._may_stream(current):
             self._start_upload(current)
 
+    def _apply_limits(self) -> None:
+        """Apply the limits in force, which may have changed since the last bytes from the client."""
+        limits = self._owner.forwarder.config.limits
+        if limits is not self._limits:
+            self._limits = limits
+            self._reader.set_limits(limits.max_body_bytes, limits.max_head_bytes)
+
     def _forward_pipelined(self) -> None:
         while self._pipelined and len(self._responses) < MAX_IN_FLIGHT and not self._is_closing and not self.closed:
             self._forward(self._pipelined.popleft(), is_complete=True)
--- a/tests/rules/defects.py
+++ b/tests/rules/defects.py
@@ -296,13 +296,33 @@
 
 def heads_have_a_limit_of_our_own(patch: Patch) -> None:
     def on_data(self: ClientConnection, data: bytes) -> None:
-        self._reader._head_limit = http_message.MAX_HEAD_BYTES
+        self._reader._next_head_limit = http_message.MAX_HEAD_BYTES
         real(self, data)
 
     real = ClientConnection.on_data
     patch.setattr(ClientConnection, "on_data", on_data)
 
 
+def a_connection_keeps_its_first_limits(patch: Patch) -> None:
+    patch.setattr(ClientConnection, "_apply_limits", lambda self: None)
+
+
+def lowered_limits_end_a_request_that_is_arriving(patch: Patch) -> None:
+    def set_limits(self: http_message.Reader, body_limit: int, head_limit: int) -> None:
+        real(self, body_limit, head_limit)
+        self._body_limit, self._head_limit = body_limit, head_limit
+
+    real = http_message.Reader.set_limits
+    patch.setattr(http_message.Reader, "set_limits", set_limits)
+
+
+def raised_limits_wait_for_the_next_request(patch: Patch) -> None:
+    def set_limits(self: http_message.Reader, body_limit: int, head_limit: int) -> None:
+        self._next_body_limit, self._next_head_limit = body_limit, head_limit
+
+    patch.setattr(http_message.Reader, "set_limits", set_limits)
+
+
 # BUDGET
 
 
--- a/tests/rules/test_defects.py
+++ b/tests/rules/test_defects.py
@@ -205,6 +205,23 @@
         65_536,
         200,
     ),
+    broken(
+        defects.a_connection_keeps_its_first_limits,
+        test_denied.test_a_raised_limit_reaches_a_connection_that_is_kept,
+        *test_denied.RAISED_BODY_LIMIT,
+    ),
+    broken(
+        defects.lowered_limits_end_a_request_that_is_arriving,
+        test_denied.test_a_request_that_is_arriving_when_the_limit_changes_has_the_higher_one,
+        test_denied.HIGH,
+        test_denied.LOW,
+    ),
+    broken(
+        defects.raised_limits_wait_for_the_next_request,
+        test_denied.test_a_request_that_is_arriving_when_the_limit_changes_has_the_higher_one,
+        test_denied.LOW,
+        test_denied.HIGH,
+    ),
     broken(
         defects.every_attempt_has_all_of_the_time,
         test_budget.test_each_attempt_is_handed_what_is_left_of_the_clients_time,
