A version of a service without MaxConnections lifts the limit of the version before

A proxy went on with the MaxConnections of an older version of its backend's service after a newer one without the field was acknowledged, until it was restarted.

Cause: the process applied the number only where the configuration has one.

Change: each update sets the configured number, or the default that also holds before the configuration is known.

--- a/lilacsill/mesh/proxy/backend_pool.py
+++ b/lilacsill/mesh/proxy/backend_pool.py
@@ -15,7 +15,7 @@
 from .idle_limit import IdleLimit
 
 CONNECT_TIMEOUT_US = 300_000  # short, since the backend is on this machine
-DEFAULT_MAX_CONNECTIONS = 100  # until the configuration is known
+DEFAULT_MAX_CONNECTIONS = 100  # if the configuration is not known or sets no limit
 SWEEP_US = MAX_IDLE_US // 4
 
 
@@ -31,6 +31,10 @@
         self._connecting = 0
         self._sweep_timer: Timer | None = None
 
+    def set_max_connections(self, configured: int | None) -> None:
+        """Set the maximum number of connections. None: the configuration sets no limit, and the default applies."""
+        self.max_connections = DEFAULT_MAX_CONNECTIONS if configured is None else configured
+
     def now(self) -> int:
         """Return the current time in microseconds."""
         return self._reactor.now()
--- a/lilacsill/mesh/proxy/process.py
+++ b/lilacsill/mesh/proxy/process.py
@@ -114,9 +114,7 @@
     def _on_update(self) -> None:
         """Apply what a registry has sent about this proxy's service and backend."""
         service = self._lifecycle.service or self._settings.service
-        max_connections = self._config.max_connections(service)
-        if max_connections is not None:
-            self._gateway.pool.max_connections = max_connections
+        self._gateway.pool.set_max_connections(self._config.max_connections(service))
         if self._apply_reported_drain():
             self._gateway.drain()
         self._health_probe.start()
