Confirmations of a view that a suspended member reads late do not count

A tail that is suspended for 4 s just after it has asked the others about its view answers a read with 200 and the configuration from before a change that was acknowledged meanwhile.

Cause: the event loop handles sockets before timers, so replies that have waited in the sockets of a suspended process count, although their time-out of 0.4 s is long over.

Change: ask_in_time ignores replies that are read after the time-out by the asker's clock; confirmations of a view and the check of callers use it. Other requests stay: a reply to a heartbeat that a busy process reads late still comes from a live peer.

--- a/lilacsill/mesh/runtime/environment.py
+++ b/lilacsill/mesh/runtime/environment.py
@@ -32,3 +32,17 @@
     def ask(self, address: str, message: Message, timeout_us: int, on_reply: OnReply) -> None:
         """Send a request. `on_reply` is called once, never before this method returns."""
         ...
+
+
+def ask_in_time(environment: Environment, address: str, message: Message, timeout_us: int, on_reply: OnReply) -> None:
+    """Send a request like `Environment.ask`, but ignore a reply that is read after the time-out.
+
+    A process that was suspended reads the replies in its sockets before its timers run. Use this function where a reply
+    states what was true at a time shortly before.
+    """
+    asked_at = environment.now()
+
+    def check_time(reply: Message | None) -> None:
+        on_reply(reply if environment.now() - asked_at <= timeout_us else None)
+
+    environment.ask(address, message, timeout_us, check_time)
--- a/lilacsill/mesh/store/caller_check.py
+++ b/lilacsill/mesh/store/caller_check.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Callable
 
-from lilacsill.mesh.runtime.environment import Environment
+from lilacsill.mesh.runtime.environment import Environment, ask_in_time
 from lilacsill.mesh.runtime.messages import CallerCheck, CallerCheckReply, CallOrigin, Message
 
 TIMEOUT_US = 400_000
@@ -28,11 +28,8 @@
     if origin is None:
         done(True)
         return
-    asked_at = environment.now()
 
     def on_reply(reply: Message | None) -> None:
-        # A process that was suspended handles the replies in its sockets before its timers.
-        is_late = environment.now() - asked_at > TIMEOUT_US
-        done(isinstance(reply, CallerCheckReply) and reply.is_waiting and not is_late)
+        done(isinstance(reply, CallerCheckReply) and reply.is_waiting)
 
-    environment.ask(origin.registry, CallerCheck(origin.number), TIMEOUT_US, on_reply)
+    ask_in_time(environment, origin.registry, CallerCheck(origin.number), TIMEOUT_US, on_reply)
--- a/lilacsill/mesh/store/quorum.py
+++ b/lilacsill/mesh/store/quorum.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 
+from lilacsill.mesh.runtime.environment import ask_in_time
 from lilacsill.mesh.runtime.messages import Confirm, Confirmed, Message
 
 from .replica import Replica
@@ -38,4 +39,4 @@
         done(is_confirmed and replica.view.number == view.number)
 
     for member in view.members:
-        replica.environment.ask(member.address, Confirm(view.number), CONFIRM_TIMEOUT_US, on_answer)
+        ask_in_time(replica.environment, member.address, Confirm(view.number), CONFIRM_TIMEOUT_US, on_answer)
