Each mesh on loopback in tests takes a network of its own

Change: LoopbackMesh takes a free network, as soaks do (LoopbackNetwork moves to the simulation package), and the two files need no group. The read in the test is bounded like all other waits.

--- a/lilacsill/mesh/simulation/loopback.py
+++ b/lilacsill/mesh/simulation/loopback.py
@@ -1,7 +1,8 @@
 """A mesh of real processes on this machine's loopback: core machines, proxies, backends, clients and an operator.
 
-Each machine is an address of 127.0.0.0/8 of its own, so that all use the same ports, as the platform has it. Bounded:
-so many seconds, so many clients, each with one request at a time.
+Each machine is an address of 127.0.0.0/8 of its own, so that all use the same ports, as the platform has it. Each mesh
+has a network of its own, so that several can run at once. Bounded: so many seconds, so many clients, each with one
+request at a time.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import subprocess
 from collections import Counter
 from collections.abc import Callable
+from random import Random
 from types import TracebackType
 
 import msgspec
@@ -23,6 +25,7 @@
 from lilacsill.net import reactor as watchers
 
 from .http_call import HttpCall
+from .loopback_network import LoopbackNetwork
 from .loopback_processes import APP_PORT, CONTROL_PORT, OUTGOING_PORT, LoopbackProcesses, ProcessKey, Program
 from .store_fleet import put, route
 
@@ -32,6 +35,7 @@
 OPERATOR_RETRY_US = 200_000
 NO_RESPONSE = 0  # in place of an HTTP status
 SERVICE = "s"
+CORE_GROUP, SIDECAR_GROUP = 1, 2  # of the addresses
 
 
 class Backend:
@@ -110,8 +114,9 @@
 
     def __init__(self, cores: int = 3, sidecars: int = 4) -> None:
         self.reactor = Reactor()
-        self.cores = [f"127.0.1.{i + 1}" for i in range(cores)]
-        self.sidecars = [f"127.0.2.{i + 1}" for i in range(sidecars)]
+        self._network = LoopbackNetwork(Random())
+        self.cores = [self._network.address(CORE_GROUP, i + 1) for i in range(cores)]
+        self.sidecars = [self._network.address(SIDECAR_GROUP, i + 1) for i in range(sidecars)]
         self.ran: Counter[str] = Counter()  # times that a request was run, by its id
         self.answered: dict[str, int] = {}  # status, by id
         self.served: Counter[str] = Counter()
@@ -145,6 +150,7 @@
         self.processes.close()
         for backend in self.backends.values():
             backend.close()
+        self._network.close()
         self.reactor.close()
         watchers.install(None)
 
--- a/lilacsill/mesh/simulation/loopback_network.py
+++ b/lilacsill/mesh/simulation/loopback_network.py
@@ -1,4 +1,4 @@
-"""A part of 127.0.0.0/8 that one soak has to itself while it runs."""
+"""A part of 127.0.0.0/8 that one mesh on loopback has to itself while it runs."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class LoopbackNetwork:
-    """The addresses 127.NUMBER.x.y; a listening socket at one of them keeps other soaks away."""
+    """The addresses 127.NUMBER.x.y; a listening socket at one of them keeps other meshes away."""
 
     def __init__(self, rng: Random) -> None:
         """Take a free network. Raises OSError if there is none."""
@@ -33,5 +33,5 @@
         return f"127.{self.number}.{group}.{number}"
 
     def close(self) -> None:
-        """Let another soak have the network."""
+        """Let another mesh have the network."""
         self._lock.close()
--- a/lilacsill/mesh/soak/soak_run.py
+++ b/lilacsill/mesh/soak/soak_run.py
@@ -14,6 +14,7 @@
 
 from lilacsill.mesh.runtime.client import RequestFailed, fetch_status
 from lilacsill.mesh.runtime.reactor import Reactor
+from lilacsill.mesh.simulation.loopback_network import LoopbackNetwork
 from lilacsill.mesh.simulation.loopback_processes import (
     DEFAULT_BOUNDS,
     INTERNAL_PORTS,
@@ -30,7 +31,6 @@
 from .fault_injector import FaultInjector
 from .fault_plan import SERIES, SHARED_SERIES, ClosingFault, FaultPlan, draw_plan
 from .judge import Judge
-from .loopback_network import LoopbackNetwork
 from .observations import ClientRequest, Record
 from .operator_client import OperatorClient
 from .process_supervisor import ProcessSupervisor
--- a/tests/mesh/test_late_copies.py
+++ b/tests/mesh/test_late_copies.py
@@ -16,19 +16,17 @@
 from lilacsill.mesh.simulation.order_scenarios import with_services
 from lilacsill.mesh.simulation.store_fleet import put, route
 
-# Machines of the mesh are addresses of loopback with fixed ports: two meshes at once would meet.
-pytestmark = pytest.mark.xdist_group("mesh on loopback")
-
 PATIENCE_S = 20.0  # a slow machine is given time; a quick one needs two seconds
 CALLER_PATIENCE_US = 1_000_000  # after which an operator closes its connection and tries another registry
+READ_AGAIN_US = 100_000
 AFTER_REFUSAL_S = 3.5
 AFTER_WAKING_S = 2.0  # for the copy on its way through the registry, its store and the head
 
 
-def call(mesh: LoopbackMesh, ip: str, method: bytes, body: dict[str, Any]) -> Message | None:
-    """Make one call as an operator, and return the response; None: there was none within a second."""
+def try_once(mesh: LoopbackMesh, ip: str, body: dict[str, Any]) -> Message | None:
+    """Send a change to one registry, and return the response; None: there was none within a second."""
     responses: list[Message | None] = []
-    data = encode_request(method, b"/api/config", JSON_HEADERS, msgspec.json.encode(body) if body else b"")
+    data = encode_request(b"PATCH", b"/api/config", JSON_HEADERS, msgspec.json.encode(body))
     HttpCall(mesh.reactor, Address(ip, CONTROL_PORT), data, CALLER_PATIENCE_US, responses.append)
     assert mesh.until(lambda: bool(responses), PATIENCE_S)
     return responses[0]
@@ -42,11 +40,21 @@
 
 
 def routes_in_force(mesh: LoopbackMesh) -> set[str]:
-    response: Message | None = None
-    while response is None or response.status != 200:
-        response = call(mesh, mesh.cores[0], b"GET", {})
-    listeners = msgspec.json.decode(bytes(response.body))["Listeners"]
-    return {rule["Name"] for listener in listeners for rule in listener["Policy"]}
+    data = encode_request(b"GET", b"/api/config", JSON_HEADERS)
+    bodies: list[bytes] = []
+
+    def read() -> None:
+        HttpCall(mesh.reactor, Address(mesh.cores[0], CONTROL_PORT), data, CALLER_PATIENCE_US, on_done)
+
+    def on_done(response: Message | None) -> None:
+        if response is not None and response.status == 200:
+            bodies.append(bytes(response.body))
+        else:
+            mesh.reactor.after(READ_AGAIN_US, read)
+
+    read()
+    assert mesh.until(lambda: bool(bodies), PATIENCE_S), "no read of the configuration succeeds"
+    return {rule["Name"] for listener in msgspec.json.decode(bodies[0])["Listeners"] for rule in listener["Policy"]}
 
 
 @pytest.mark.parametrize("suspended", [Program.REGISTRY, Program.STORE])
@@ -58,7 +66,7 @@
         refused = put([route("refused", 2, "/refused/", "new")])
         mesh.processes.signal(key, signal.SIGSTOP)
         try:
-            response = call(mesh, key.ip, b"PATCH", refused)
+            response = try_once(mesh, key.ip, refused)
             assert response is None or response.status == 503
             assert status_until_clear(mesh, refused) == 400
             valid = with_services(put([route("valid", 3, "/valid/", "new")]), [("new", 3)], [])
--- a/tests/mesh/test_loopback.py
+++ b/tests/mesh/test_loopback.py
@@ -8,16 +8,12 @@
 from pathlib import Path
 from urllib.request import urlopen
 
-import pytest
 
 from lilacsill.mesh.runtime.client import fetch_status
 from lilacsill.mesh.runtime.metrics_server import PROXY_PORT, REGISTRY_PORT, STORE_PORT
 from lilacsill.mesh.simulation.loopback import LoopbackMesh, rules
 from lilacsill.mesh.simulation.loopback_processes import INTERNAL_PORTS, Program
 
-# Machines of the mesh are addresses of loopback with fixed ports: two meshes at once would meet.
-pytestmark = pytest.mark.xdist_group("mesh on loopback")
-
 PATIENCE_S = 20.0  # a slow machine is given time; a quick one needs two seconds
 
 
