An answer whose status is not from 100 to 599 reaches no client

Cause: Reader leaves the grammar of a head to llhttp, which takes any three digits as a status. The proxy beside the backend compares it with 300 and 500 alone, so 000 was a success as long as it bore the seal, and it was written out as a number.

Change: Reader ends a response whose status is not from 100 to 599 (RFC 9110, section 15) like any other malformed one. All that read answers read through it: the proxies (answers and health checks), the agent and the hosted service (answers, probes, discovery).

Why this works: from there on the way of a malformed response is taken, which was there before. The connection is closed, the failure counts for its backend, a read goes elsewhere within its budget, a write gets 502 and is not sent again, and Not-Run in such an answer promises nothing.

--- a/lilacsill/http1/message.py
+++ b/lilacsill/http1/message.py
@@ -8,6 +8,7 @@
 
 MAX_HEAD_BYTES = 32 * 1024  # maximum size of the start line and the header fields
 MAX_INTERIM_RESPONSES = 16  # 1xx responses accepted before the final response
+VALID_STATUSES = range(100, 600)  # RFC 9110, section 15
 
 Headers = list[tuple[str, str]]
 REASON_PHRASES = {
@@ -88,7 +89,8 @@
     """An incremental parser, which returns complete messages. After an error it ignores further bytes.
 
     llhttp validates the syntax: characters, lengths, Content-Length together with Transfer-Encoding. It does not limit
-    sizes and accepts responses delimited by the end of the connection; the reader checks both.
+    sizes, accepts any three digits as a status, and accepts responses delimited by the end of the connection; the
+    reader checks all three.
     """
 
     def __init__(
@@ -210,6 +212,8 @@
             message.method = parser.get_method()
         else:
             message.status = parser.get_status_code()
+            if message.status not in VALID_STATUSES:
+                self._stop(502, "invalid status")
             bodiless = message.status < 200 or message.status in (204, 304)
             if not bodiless and message.fields.keys().isdisjoint((b"content-length", b"transfer-encoding")):
                 # The end of the connection delimits it, so a truncated response cannot be told from a complete one.
--- /dev/null
+++ b/tests/http1/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of HTTP/1.1 messages."""
--- a/tests/mesh/stage.py
+++ b/tests/mesh/stage.py
@@ -58,6 +58,7 @@
         self.refused: list[Message] = []  # requests that it did not run
         self.script: list[str] = []
         self.answers_early = False  # before the body has come; the connection stays open
+        self.prepared: Callable[[Message], bytes] = lambda request: answer(request, b"prepared")
         self.connections: list[BackendConnection] = []
         self.listener = Listener(reactor, Address(LOOPBACK, 0), self._accepted)
 
@@ -125,6 +126,9 @@
     def _says_nonsense(self, request: Message) -> None:
         self.send(b"%% no answer %%\r\n\r\n")
 
+    def _sends_what_is_prepared(self, request: Message) -> None:
+        self.send(self._backend.prepared(request))
+
     def _did_not_run_it(self, request: Message) -> None:
         self._backend.ran.pop()
         self.send(answer(request, b"", b"503 Service Unavailable", b"Not-Run: 1\r\n"))
--- a/tests/rules/defects.py
+++ b/tests/rules/defects.py
@@ -420,3 +420,7 @@
         return None
 
     patch.setattr(Reader, "close", close)
+
+
+def any_three_digits_are_a_status(patch: Patch) -> None:
+    patch.setattr(http_message, "VALID_STATUSES", range(1000))
--- a/tests/rules/test_defects.py
+++ b/tests/rules/test_defects.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.mesh import test_chain, test_poll_server
+from tests.mesh import test_chain, test_malformed_response_heads, test_poll_server
 from tests.mesh.proxy import test_admission, test_graceful_shutdown, test_retry_budget
 from tests.mesh.proxy import test_answers_for_a_backend_at_work as test_answers
 from tests.planted_defects import PATCH, Plant, assert_is_found, broken
@@ -143,6 +143,12 @@
     ),
     broken(defects.any_answer_is_the_answer, test_mixed.test_an_answer_to_another_request_is_given_to_nobody),
     broken(defects.answers_need_no_seal, test_mixed.test_an_answer_without_a_seal_is_no_success),
+    broken(
+        defects.any_three_digits_are_a_status,
+        test_malformed_response_heads.test_a_write_that_is_answered_with_an_invalid_status_fails,
+        b"000",
+        b"",
+    ),
     broken(
         defects.the_end_of_a_client_cancels_nothing,
         test_gone.test_a_request_at_its_backend_ends_with_its_connection_there,
