Tests: a malformed field name in the head of an answer reaches no client

Result: handled already; nothing in the product changes. Through two proxies, a write gets 502 and a read is tried elsewhere, short and streamed, and a malformed Content-Length or Transfer-Encoding hides no end of a body.

--- a/tests/agent/test_backends.py
+++ b/tests/agent/test_backends.py
@@ -54,6 +54,8 @@
         (spoilt(OK + b"Transfer-Encoding: chunked\r\n\r\n111700\r\n" + b"x" * 1_100_000), Outcome.ERROR),
         (spoilt(OK + b"\r\nendless"), Outcome.ERROR),
         (spoilt(b"HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\ndone"), Outcome.ERROR),
+        (spoilt(OK + b"No te: 1\r\nContent-Length: 4\r\n\r\ndone"), Outcome.ERROR),
+        (spoilt(OK + b"Note\x01: 1\r\nContent-Length: 4\r\n\r\ndone"), Outcome.ERROR),
         (spoilt(b"HTTP/1.1 100 Continue\r\n\r\n" * 99), Outcome.ERROR),
         (spoilt(b"HTTP/1.1 101 Switching Protocols\r\n\r\n"), Outcome.ERROR),
         (spoilt(b"HTTP/1.1 102 Wait\r\n\r\n" + OK + b"Content-Length: 0\r\n\r\n"), Outcome.OK),
--- a/tests/mesh/test_malformed_response_heads.py
+++ b/tests/mesh/test_malformed_response_heads.py
@@ -12,6 +12,8 @@
 BODY = b"of a malformed response"
 SIZES = pytest.mark.parametrize("body", [BODY, BODY * 10_000], ids=["short", "streamed"])
 STATUSES = pytest.mark.parametrize("status", [b"000", b"001", b"099", b"600", b"999"])
+MALFORMED = [b"%b e", b"%b ", b"%b\t", b" %b", b"\t%b", b"%b\x00", b"\x01%b", b"%b\x7f"]
+NAMES = pytest.mark.parametrize("name", MALFORMED)
 
 Prepared = Callable[[Message], bytes]
 
@@ -68,3 +70,28 @@
         second = s.client(request("POST", "/writes/b", 2, b"body"))
         s.until(lambda: bool(second.answers), "the second answer")
         assert second.answers[0].status == 200 and len(s.backends["one"].connections) == 2
+
+
+# Guards against a name with a blank or a control byte, which may be passed on.
+@SIZES
+@NAMES
+def test_a_write_whose_answer_has_a_malformed_field_name_fails(name: bytes, body: bytes) -> None:
+    assert_write_fails(lambda message: answer(message, body, more=name % b"Note" + b": x\r\n"))
+
+
+@NAMES
+def test_a_read_whose_answer_has_a_malformed_field_name_is_tried_elsewhere(name: bytes) -> None:
+    assert_read_is_retried(lambda message: answer(message, BODY, more=name % b"Note" + b": x\r\n"))
+
+
+# Guards against a body that is not the backend's: without its length, or with chunks taken for the body.
+@pytest.mark.parametrize("framing", [b"Content-Length: %d", b"Transfer-Encoding: chunked"])
+@NAMES
+def test_a_malformed_name_does_not_hide_how_a_body_ends(name: bytes, framing: bytes) -> None:
+    field, _, value = framing.partition(b":")
+
+    def prepared(message: Message) -> bytes:
+        head, _, _ = answer(message, b"").partition(b"Content-Length")
+        return head + name % field + b":" + value.replace(b"%d", b"4") + b"\r\n\r\n" + BODY
+
+    assert_write_fails(prepared)
