--- a/tests/http1/test_response_heads.py
+++ b/tests/http1/test_response_heads.py
@@ -35,6 +35,13 @@
     assert not is_accepted(b"HTTP/1.1 %b X\r\nContent-Length: 0\r\n\r\n" % status)
 
 
+# Guards against responses of protocols that llhttp knows beside HTTP, which reach clients as responses.
+def test_a_response_of_another_protocol_is_malformed() -> None:
+    protocols = [b"HTTP/1.1", b"HTTP/1.0", b"RTSP/1.0", b"RTSP/1.1", b"ICE/1.0", b"ICE/1.1"]
+    accepted = [name for name in protocols if is_accepted(name + b" 200 X\r\nContent-Length: 0\r\n\r\n")]
+    assert accepted == [b"HTTP/1.1", b"HTTP/1.0"]
+
+
 def test_a_response_before_one_with_an_invalid_status_stays_valid() -> None:
     reader = Reader(HttpResponseParser, BODY_LIMIT)
     complete = reader.feed(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n")
