--- a/lilacsill/mesh/simulation/loopback.py
+++ b/lilacsill/mesh/simulation/loopback.py
@@ -26,7 +26,15 @@
 
 from .http_call import HttpCall
 from .loopback_network import LoopbackNetwork
-from .loopback_processes import APP_PORT, CONTROL_PORT, OUTGOING_PORT, LoopbackProcesses, ProcessKey, Program
+from .loopback_processes import (
+    APP_PORT,
+    CONTROL_PORT,
+    OUTGOING_PORT,
+    LoopbackProcesses,
+    ProcessKey,
+    ProcessLimits,
+    Program,
+)
 from .store_fleet import put, route
 
 HEARTBEAT_US, WORK_US, REST_US = 500_000, 20_000, 30_000
@@ -38,6 +46,13 @@
 CORE_GROUP, SIDECAR_GROUP = 1, 2  # of the addresses
 
 
+class Work(msgspec.Struct, frozen=True):
+    """What a backend does for a request."""
+
+    duration_us: int = WORK_US
+    response_bytes: int = 500
+
+
 class Backend:
     """An application beside a proxy: works for a while on each request, and beats."""
 
@@ -53,6 +68,11 @@
         """The event loop of the mesh's driver."""
         return self._mesh.reactor
 
+    def work(self, request: Message) -> Work:
+        """Return what is to be done for a request, by the first part of its path."""
+        prefix, _, _ = request.target[1:].partition(b"/")
+        return self._mesh.work.get(prefix, Work())
+
     def record_run(self, attempt_id: str) -> None:
         """Count that a request was run."""
         self._mesh.ran[attempt_id] += 1
@@ -90,7 +110,7 @@
         """Work on each request for a time."""
         for message in self._reader.feed(data):
             self._backend.running += 1
-            self._backend.reactor.after(WORK_US, self._answer, message)
+            self._backend.reactor.after(self._backend.work(message).duration_us, self._answer, message)
 
     def _answer(self, message: Message) -> None:
         running = self._backend.running
@@ -106,13 +126,13 @@
             ("Answering-Server", self._backend.server),
             ("Server-Load", f"{running},0,8"),
         ]
-        self.send(encode_response(200, headers, b"x" * 500))
+        self.send(encode_response(200, headers, b"x" * self._backend.work(message).response_bytes))
 
 
 class LoopbackMesh:
     """The processes, and the backends, clients and operators around them."""
 
-    def __init__(self, cores: int = 3, sidecars: int = 4) -> None:
+    def __init__(self, cores: int = 3, sidecars: int = 4, limits: ProcessLimits | None = None) -> None:
         self.reactor = Reactor()
         self._network = LoopbackNetwork(Random())
         self.cores = [self._network.address(CORE_GROUP, i + 1) for i in range(cores)]
@@ -120,7 +140,8 @@
         self.ran: Counter[str] = Counter()  # times that a request was run, by its id
         self.answered: dict[str, int] = {}  # status, by id
         self.served: Counter[str] = Counter()
-        self.processes = LoopbackProcesses(self.cores)
+        self.processes = LoopbackProcesses(self.cores, limits=limits)
+        self.work: dict[bytes, Work] = {}  # of the backends, by the first part of the path; others have the default
         self._numbers = 0
         self.backends: dict[str, Backend] = {}
 
--- a/lilacsill/mesh/simulation/loopback_processes.py
+++ b/lilacsill/mesh/simulation/loopback_processes.py
@@ -35,6 +35,10 @@
 {listen}
 [Survive]
 LostMachines = {lost_machines}
+{limits}"""
+LIMITS = """[Limits]
+MemoryMb = {limits.memory_mb}
+FileHandles = {limits.file_handles}
 """
 
 DEFAULT_BOUNDS = ("DrainWithinMs=2000", "GracePeriodS=6", "RetryRatio=0.2", "RetryWindowS=10", "RetrySlack=60")
@@ -58,6 +62,13 @@
     ip: str
 
 
+class ProcessLimits(msgspec.Struct, frozen=True):
+    """What the platform gives a process: `Limits` of its settings file. Here nothing enforces them."""
+
+    memory_mb: int
+    file_handles: int
+
+
 class LoopbackProcesses:
     """Starts and ends the processes of one mesh, each with a settings file and a log file of its own."""
 
@@ -68,6 +79,7 @@
         lost_machines: int = 1,
         bounds: tuple[str, ...] = DEFAULT_BOUNDS,
         is_logged: bool = False,
+        limits: ProcessLimits | None = None,
     ) -> None:
         """Prepare a folder; nothing is started.
 
@@ -77,10 +89,12 @@
             lost_machines: How many core machines may be lost at once.
             bounds: The `TimingBounds` of all settings files.
             is_logged: Whether what the processes print goes to files (`log_text`) and not to this process's streams.
+            limits: The `Limits` of all settings files; None: they have none.
         """
         self.core_ips = core_ips
         self._zone_count, self._lost_machines, self._bounds = zone_count, lost_machines, bounds
         self._is_logged = is_logged
+        self._limits = limits
         self.source_folders: dict[ProcessKey, Path] = {}  # processes that start from another source tree than this one
         self._folder = tempfile.TemporaryDirectory(prefix=TEMPORARY_PREFIX)
         self._running: dict[ProcessKey, subprocess.Popen[bytes]] = {}
@@ -131,6 +145,7 @@
                 role=role,
                 listen=listen,
                 lost_machines=self._lost_machines,
+                limits="" if self._limits is None else LIMITS.format(limits=self._limits),
             )
         )
         return path
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -40,9 +40,10 @@
     assert lines.index("named 'emulator run'") < runs[0] < lines.index("named pytest") < runs[1]
 
 
-def test_ci_plays_the_soaks_and_sweeps_that_the_command_of_the_readme_leaves_out() -> None:
+def test_ci_plays_the_soaks_crowds_and_sweeps_that_the_command_of_the_readme_leaves_out() -> None:
     options = tomllib.loads((ROOT / "pyproject.toml").read_text())["tool"]["pytest"]["ini_options"]
-    assert options["addopts"] == "-m 'not sweep and not soak'"
+    assert options["addopts"] == "-m 'not sweep and not soak and not crowd'"
     lines = (ROOT / ".ci" / "run").read_text().splitlines()
-    assert any(line.endswith("-m pytest -q -m soak") and "||" not in line for line in lines)
+    for marker in ("soak", "crowd"):
+        assert any(line.endswith(f"-m pytest -q -m {marker}") and "||" not in line for line in lines)
     assert lines[-1].endswith("-m pytest -q -n auto -m sweep") and "||" not in lines[-1]
