A line without end behind a body is refused; the size of a head is its own

Callers saw a proxy that grew without bound: 12 clients with a trailer field that never ends took it to 293 and 316 MB (limit 96). And a client that sends many requests ahead got 400 "head too large" for a small head, if a read ended inside it.

Cause: llhttp keeps a field until its end, and `Reader` counted what is not reported yet in heads only, there with all bytes of the read, also those of the requests before. Now the reads that bring nothing but a part of the current head count, and behind a body the reads since its last byte (chunk extensions, trailers), each against MaxHeaderBytes. Messages also estimate the memory that they take, for the accounts to come.

--- a/lilacsill/http1/message.py
+++ b/lilacsill/http1/message.py
@@ -9,6 +9,8 @@
 MAX_HEAD_BYTES = 32 * 1024  # maximum size of the start line and the header fields
 MAX_INTERIM_RESPONSES = 16  # 1xx responses accepted before the final response
 VALID_STATUSES = range(100, 600)  # RFC 9110, section 15
+# Estimated memory of a message without its bytes, and of each header line: tuples, strings and entries of dictionaries.
+MESSAGE_OVERHEAD_BYTES, LINE_OVERHEAD_BYTES = 1024, 256
 
 Headers = list[tuple[str, str]]
 REASON_PHRASES = {
@@ -58,6 +60,7 @@
         "keep_alive",
         "version",
         "header_lines",
+        "head_bytes",
     )
 
     def __init__(self) -> None:
@@ -72,6 +75,13 @@
         self.keep_alive = False
         self.version = "1.1"
         self.header_lines: list[tuple[bytes, bytes]] | None = None  # in the order received; None: not kept
+        self.head_bytes = 0  # size of the complete lines of the head
+
+    @property
+    def memory_bytes(self) -> int:
+        """Estimate of the memory that the message takes; far more than its bytes if the head has many short lines."""
+        lines = max(len(self.fields), len(self.header_lines or ()))
+        return MESSAGE_OVERHEAD_BYTES + lines * LINE_OVERHEAD_BYTES + self.head_bytes + len(self.body)
 
     def take_body(self) -> bytes:
         """Remove and return the bytes of the body received since the last call."""
@@ -116,8 +126,8 @@
         self._next_body_limit, self._next_head_limit = body_limit, head_limit
         self._complete: list[Message] = []
         self.in_body = False
-        self._head_bytes = 0  # bytes of the parsed lines of the current head
-        self._unparsed_head_bytes = 0  # all bytes fed for the current head until its end is received
+        self._partial_head_bytes = 0  # of the reads that had nothing but a part of the current head
+        self._framing_bytes = 0  # of the reads since the last byte of the current body: chunk headers and trailers
         self._interim_responses = 0  # consecutive
         self.current: Message | None = None  # the message being received, if any
         self.error: InvalidMessageError | None = None
@@ -137,6 +147,8 @@
         """Return the messages that these bytes complete; set `error` if the bytes after them are invalid."""
         if self.error is not None:
             return []
+        before, was_in_body = self.current, self.in_body
+        received = before.received if before is not None else 0
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade:
@@ -145,13 +157,43 @@
         except HttpParserError as error:
             # If a callback raised an error, for example for a limit, the parser wraps it; `_stop` has already set it.
             self.error = self.error or InvalidMessageError(400, f"malformed message: {error}")
-        if self.current is not None and not self.in_body:
-            self._unparsed_head_bytes += len(data)
-            if self._unparsed_head_bytes > self._head_limit:
-                self.error = self.error or InvalidMessageError(400, "head too large")
         complete, self._complete = self._complete, []
+        if before is not None and self.current is before:
+            self._check_unparsed(before, len(data), was_in_body, received)
+        elif self.current is not None and not self.in_body and not complete:
+            self._count_partial_head(len(data))
         return complete
 
+    def _check_unparsed(self, message: Message, size: int, was_in_body: bool, received: int) -> None:
+        """Limit the parts of a line that llhttp has taken but not reported yet, in a head or in a trailer.
+
+        Args:
+            message: The message that was being received before the read, and still is.
+            size: The size of the read.
+            was_in_body: Whether the read began after the head.
+            received: Bytes of the body that had been received before.
+        """
+        if not self.in_body:
+            self._count_partial_head(size)
+        elif was_in_body and message.received == received:
+            self._framing_bytes += size
+            if self._framing_bytes > self._head_limit:
+                self.error = self.error or InvalidMessageError(400, "trailer too large")
+        else:
+            self._framing_bytes = 0
+
+    def _count_partial_head(self, size: int) -> None:
+        self._partial_head_bytes += size
+        if self._partial_head_bytes > self._head_limit:
+            self.error = self.error or InvalidMessageError(400, "head too large")
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Estimate of the memory that the message takes which is being received."""
+        if self.current is None:
+            return 0
+        return self.current.memory_bytes + self._partial_head_bytes + self._framing_bytes
+
     def close(self) -> Message | None:
         """Handle the end of the connection; return the message that it completes, if any."""
         message = self.current
@@ -176,21 +218,23 @@
         self._body_limit, self._head_limit = self._next_body_limit, self._next_head_limit
         if self._keep_header_lines:
             self.current.header_lines = []
-        self._head_bytes = self._unparsed_head_bytes = 0
+        self._partial_head_bytes = self._framing_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the request target."""
         assert self.current is not None
         self.current.target += url
-        self._count_head_bytes(len(url))
+        self.current.head_bytes += len(url)
+        if self.current.head_bytes > self._head_limit:
+            self._stop(400, "head too large")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field; trailer fields are ignored."""
         message = self.current
         if self.in_body or message is None:  # a trailer
             return
-        self._head_bytes += len(name) + len(value) + 4  # ": " and the line break
-        if self._head_bytes > self._head_limit:
+        message.head_bytes += len(name) + len(value) + 4  # ": " and the line break
+        if message.head_bytes > self._head_limit:
             self._stop(400, "head too large")
         value = value.strip(b" \t")  # llhttp keeps the white space after a value (RFC 9110, 5.5)
         if message.header_lines is not None:
@@ -247,11 +291,6 @@
             self._interim_responses = 0
             self._complete.append(message)
 
-    def _count_head_bytes(self, size: int) -> None:
-        self._head_bytes += size
-        if self._head_bytes > self._head_limit:
-            self._stop(400, "head too large")
-
     def _stop(self, status: int, reason: str) -> None:
         self.error = InvalidMessageError(status, reason)
         raise self.error
