Requests that arrive together with one for another protocol are served

A client that sends requests ahead lost those before an `Upgrade` or CONNECT in the same read: it got 400 for the first of them. Cause: the reader cleared all messages of the read. It now drops the one that asks for the other protocol; the connection answers those before it in order, and 400 after them. One case failed before, two more guard the forms without and with a body.

--- a/lilacsill/http1/message.py
+++ b/lilacsill/http1/message.py
@@ -153,7 +153,7 @@
             self._parser.feed_data(data)
         except HttpParserUpgrade:
             self.error = InvalidMessageError(400, "no other protocol is spoken here")
-            self._complete.clear()
+            self._drop_upgrade()
         except HttpParserError as error:
             # If a callback raised an error, for example for a limit, the parser wraps it; `_stop` has already set it.
             self.error = self.error or InvalidMessageError(400, f"malformed message: {error}")
@@ -164,6 +164,13 @@
             self._count_partial_head(len(data))
         return complete
 
+    def _drop_upgrade(self) -> None:
+        """Drop the request that asks for another protocol, or all responses; requests before it are served."""
+        if not isinstance(self._parser, HttpRequestParser):
+            self._complete.clear()
+        elif self.current is None:
+            self._complete.pop()
+
     def _check_unparsed(self, message: Message, size: int, was_in_body: bool, received: int) -> None:
         """Limit the parts of a line that llhttp has taken but not reported yet, in a head or in a trailer.
 
--- a/tests/http1/test_request_sizes.py
+++ b/tests/http1/test_request_sizes.py
@@ -59,6 +59,14 @@
     assert reading.error is None and len(complete) == 17
 
 
+def test_requests_before_one_for_another_protocol_are_complete() -> None:
+    reading = reader()
+    upgrade = b"GET /c HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n"
+    complete = reading.feed(GET * 2 + upgrade + GET)
+    assert [message.target for message in complete] == [b"/a", b"/a"]
+    assert reading.error is not None and reading.error.status == 400
+
+
 def test_the_estimate_of_a_head_of_short_lines_is_far_above_its_size() -> None:
     reading = reader()
     lines = b"".join(b"n%d:\r\n" % number for number in range(1000))
@@ -66,3 +74,17 @@
     assert reading.buffered_bytes > 200_000
     (message,) = reading.feed(b"\r\n")
     assert message.memory_bytes > 200_000 and reading.buffered_bytes == 0
+
+
+@pytest.mark.parametrize(
+    "last",
+    [
+        b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n",
+        b"POST /c HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: other\r\nContent-Length: 2\r\n\r\nbb",
+    ],
+)
+def test_no_other_request_for_another_protocol_is_complete(last: bytes) -> None:
+    reading = reader()
+    complete = reading.feed(GET + last + GET)
+    assert [message.target for message in complete] == [b"/a"]
+    assert reading.error is not None and reading.error.status == 400
