Links that other processes open are bounded: memory, messages at once, number

Strangers at the ports between processes took a proxy, a registry and a store to 270 MB and more with 16 frames that stop short (limit 96), to 48 MB and silence for ordinary callers with requests whose replies they do not read, and to 817 descriptors (limit 400).

Cause: a frame of up to 80 MB is collected for anybody; all messages of a read are handled in one go, however long their replies wait; and there was no limit of links.

A process now has a budget of memory, half of what `MemoryMb` leaves beside the program. Each connection that others open has an account in it. Where the accounts together exceed the budget, those are closed that block the most memory for the longest time. A link that another process has opened handles 8 messages at a time, is not read while 1 MiB for its peer is unsent, has fixed buffers in the kernel, and there is a limit to their number: the one that has carried nothing, or nothing for a minute, makes room for a new one.

--- a/lilacsill/mesh/proxy/offer_server.py
+++ b/lilacsill/mesh/proxy/offer_server.py
@@ -11,6 +11,8 @@
 from typing import Protocol
 
 from lilacsill.address import Address
+from lilacsill.mesh.runtime.connection_limit import make_room
+from lilacsill.mesh.runtime.incoming_link import IncomingLink
 from lilacsill.mesh.runtime.link import Link, Listener
 from lilacsill.mesh.runtime.messages import (
     BodyChunk,
@@ -28,6 +30,7 @@
     Suspected,
 )
 from lilacsill.mesh.runtime.reactor import Reactor
+from lilacsill.mesh.runtime.resource_limits import ResourceLimits, default_limits
 
 from .backend_gateway import BackendGateway
 from .backend_request import MAX_BUFFERED_BYTES, BackendRequest
@@ -106,14 +109,14 @@
     def _on_body(self, request: BackendRequest, body_chunk: BodyChunk) -> None:
         request.send_body(body_chunk)
         if request.unsent > MAX_BUFFERED_BYTES:
-            self.link.stream.pause()
+            self.link.pause()
             self._gateway.after(RESUME_CHECK_INTERVAL_US, self._resume)
 
     def _resume(self) -> None:
         if self._request is not None and self._request.unsent > MAX_BUFFERED_BYTES // 2:
             self._gateway.after(RESUME_CHECK_INTERVAL_US, self._resume)
         elif self.link.is_open:
-            self.link.stream.resume()
+            self.link.resume()
 
     def _reply(self, number: int, message: Message) -> None:
         if self.link.is_open:
@@ -141,14 +144,29 @@
 class OfferServer:
     """Accepts the links of other proxies."""
 
-    def __init__(self, reactor: Reactor, address: Address, gateway: BackendGateway, queries: ProxyQueries) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        address: Address,
+        gateway: BackendGateway,
+        queries: ProxyQueries,
+        limits: ResourceLimits | None = None,
+    ) -> None:
         """Listen. Raises OSError if the address cannot be bound."""
-        self._gateway, self._queries = gateway, queries
-        self.links: set[OfferLink] = set()
-        self.listener = Listener(reactor, address, self._on_accepted)
+        self._reactor, self._gateway, self._queries = reactor, gateway, queries
+        self._limits = limits or default_limits()
+        self.links: dict[OfferLink, IncomingLink] = {}
+        self.listener = Listener(reactor, address, self._on_accepted, is_bounded=True)
 
     def _on_accepted(self, sock: socket.socket) -> None:
-        self.links.add(OfferLink(self._gateway, self._queries, sock, self.links.discard))
+        if not make_room(self.links.values(), self._limits.links):
+            sock.close()
+            return
+        link = OfferLink(self._gateway, self._queries, sock, self._on_closed)
+        self.links[link] = IncomingLink(self._reactor, self._limits.memory, link.link)
+
+    def _on_closed(self, link: OfferLink) -> None:
+        self.links.pop(link, None)
 
     @property
     def has_unsent(self) -> bool:
--- a/lilacsill/mesh/proxy/process.py
+++ b/lilacsill/mesh/proxy/process.py
@@ -16,6 +16,7 @@
 from lilacsill.mesh.runtime.metrics_server import PROXY_PORT, Encode, MetricsServer
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.runtime.reactor_environment import ReactorEnvironment
+from lilacsill.mesh.runtime.resource_limits import limits_of_proxy
 from lilacsill.mesh.runtime.settings import Settings, SettingsError, load_settings
 
 from .active_config import ActiveConfig
@@ -43,6 +44,7 @@
         if settings.backend_address is None:
             raise SettingsError(settings.path, "AppAddress", "is required: a proxy needs the address of its backend")
         self._settings, self._reactor = settings, reactor
+        self._limits = limits = limits_of_proxy(settings)
         self._lifecycle = BackendLifecycle(settings.timing.drain_us)
         self._gateway = BackendGateway(reactor, self._lifecycle, settings.backend_address)
         self._config, rng = ActiveConfig(), Random()
@@ -71,7 +73,9 @@
         )
         self._forwarder.permits.quota = self._shared_state.quota
         self._forwarder.permits.operations = self._shared_state.operations
-        self._offer_server = OfferServer(reactor, Address(settings.ip, settings.internal_ports[0]), self._gateway, self)
+        self._offer_server = OfferServer(
+            reactor, Address(settings.ip, settings.internal_ports[0]), self._gateway, self, limits
+        )
         self._clients = ClientListener(reactor, settings.listen["Outgoing"], self._forwarder)
         heartbeats = HeartbeatApi(reactor, self._gateway, self._discovery.announce)
         self._heartbeat_server = ControlServer(reactor, settings.listen["ControlPort"], heartbeats.handle)
--- a/lilacsill/mesh/runtime/frames.py
+++ b/lilacsill/mesh/runtime/frames.py
@@ -23,10 +23,43 @@
 class FrameDecoder:
     """Incremental parser of frames."""
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "_start")
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._start = 0  # of the next frame
+
+    @property
+    def buffered(self) -> int:
+        """Number of bytes that were added and not returned."""
+        return len(self._buffer) - self._start
+
+    def add(self, data: bytes) -> None:
+        """Add received bytes."""
+        del self._buffer[: self._start]
+        self._start = 0
+        self._buffer += data
+
+    def next(self) -> tuple[int, bytes] | None:
+        """Return the number and the payload of the next frame; None if it is not complete.
+
+        Raises:
+            FrameError: The payload exceeds `MAX_PAYLOAD_BYTES`.
+        """
+        if self.buffered < HEADER.size:
+            return None
+        length, number = HEADER.unpack_from(self._buffer, self._start)
+        if length > MAX_PAYLOAD_BYTES:
+            raise FrameError(length)
+        begin = self._start + HEADER.size
+        end = begin + length
+        if len(self._buffer) < end:
+            return None
+        payload = bytes(self._buffer[begin:end])
+        self._start = end
+        if end == len(self._buffer):
+            self.clear()
+        return number, payload
 
     def feed(self, data: bytes) -> list[tuple[int, bytes]]:
         """Add received bytes, and return the number and the payload of each frame that they complete.
@@ -34,23 +67,17 @@
         Raises:
             FrameError: A payload exceeds `MAX_PAYLOAD_BYTES`.
         """
-        buffer = self._buffer
-        buffer += data
+        self.add(data)
         frames: list[tuple[int, bytes]] = []
-        start = 0
-        while len(buffer) - start >= HEADER.size:
-            length, number = HEADER.unpack_from(buffer, start)
-            if length > MAX_PAYLOAD_BYTES:
-                raise FrameError(length)
-            end = start + HEADER.size + length
-            if len(buffer) < end:
-                break
-            frames.append((number, bytes(buffer[start + HEADER.size : end])))
-            start = end
-        if start:
-            del buffer[:start]
+        while (frame := self.next()) is not None:
+            frames.append(frame)
         return frames
 
+    def clear(self) -> None:
+        """Drop all bytes."""
+        self._buffer.clear()
+        self._start = 0
+
 
 def encode_frame(number: int, payload: bytes) -> bytes:
     """Return one frame: header and payload."""
--- a/lilacsill/mesh/runtime/link.py
+++ b/lilacsill/mesh/runtime/link.py
@@ -4,17 +4,33 @@
 
 import socket
 from collections.abc import Callable
+from typing import Protocol
 
 from lilacsill.address import Address
 from lilacsill.net.connecting import ConnectAttempt
+from lilacsill.net.reactor import running_loop
 from lilacsill.net.stream import Stream
 
 from .frames import FrameDecoder, FrameError, encode_frame
 from .log_ring import log
 from .messages import BadMessage, Message, decode, encode
 from .reactor import Reactor
+from .socket_buffers import limit_socket_buffers
 
 UNACKNOWLEDGED_TIMEOUT_MS = 1_500  # the link ends if the peer has not acknowledged sent bytes for this time
+# Of a guarded link. Above this its peer, which does not read, is not read either.
+MAX_UNSENT_BYTES = 1024 * 1024
+MAX_MESSAGES_PER_EVENT = 8  # of a guarded link, so that a peer that sends many does not delay other events for long
+
+
+class LinkGuard(Protocol):
+    """Bounds what a link holds that another process has opened."""
+
+    def on_activity(self) -> None:
+        """Handle that messages have arrived or bytes were sent."""
+
+    def on_closed(self) -> None:
+        """Handle the end of the link. May be called twice."""
 
 
 class Link:
@@ -25,9 +41,22 @@
         on_closed: Called once, when the link has ended for any reason.
         on_flushed: Called when the kernel has accepted all bytes, after some had to be buffered.
         closed: Whether the link has ended.
+        guard: Bounds the link, if another process has opened it.
+        has_received: Whether a complete message has arrived.
     """
 
-    __slots__ = ("stream", "_frames", "on_message", "on_closed", "on_flushed", "closed")
+    __slots__ = (
+        "stream",
+        "_frames",
+        "_is_held_back",
+        "_is_paused",
+        "on_message",
+        "on_closed",
+        "on_flushed",
+        "closed",
+        "guard",
+        "has_received",
+    )
 
     def __init__(
         self, sock: socket.socket, on_message: Callable[[Link, int, Message], None], on_closed: Callable[[Link], None]
@@ -43,6 +72,10 @@
         self.on_closed = on_closed
         self.on_flushed: Callable[[], None] | None = None
         self.closed = False
+        self.guard: LinkGuard | None = None
+        self.has_received = False
+        self._is_held_back = False  # messages wait, and nothing is read
+        self._is_paused = False  # by the owner
         self.stream = Stream(sock, self)
 
     def send(self, message: Message, number: int = 0) -> int:
@@ -55,22 +88,69 @@
         """Whether messages can be sent."""
         return not self.closed and not self.stream.closing
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of messages that are not complete or handled yet, and of those that are not sent."""
+        return self._frames.buffered + self.stream.unsent
+
+    def pause(self) -> None:
+        """Stop reading until `resume`."""
+        self._is_paused = True
+        self.stream.pause()
+
+    def resume(self) -> None:
+        """Go on reading after `pause`."""
+        self._is_paused = False
+        if not self._is_held_back:
+            self.stream.resume()
+
     def close(self) -> None:
         """Close the link at once, and drop the bytes in the send buffer."""
         self.stream.abort()
+        if self.guard is not None:
+            self._frames.clear()
+            self.guard.on_closed()
 
     # The interface that `lilacsill.net.stream.Stream` calls
 
     def data_received(self, data: bytes) -> None:
         """Decode the bytes from the peer."""
+        self._frames.add(data)
+        self._handle_messages()
+
+    def _handle_messages(self) -> None:
+        """Handle the messages that are complete. On a guarded link, some may have to wait."""
         try:
-            for number, payload in self._frames.feed(data):
-                if not self.is_open:
-                    return  # the handler of an earlier message closed the link: drop the rest
+            count = 0
+            while self.is_open and not self._must_wait(count) and (frame := self._frames.next()) is not None:
+                number, payload = frame
+                self.has_received = True
                 self.on_message(self, number, decode(payload))
+                count += 1
         except (FrameError, BadMessage) as error:
             log.warning("closing a link after an invalid message from its peer: %s", error)
             self.close()
+            return
+        if self.guard is not None:
+            self._hold_back_or_go_on(self.guard, count)
+
+    def _must_wait(self, count: int) -> bool:
+        if self.guard is None:
+            return False
+        return count >= MAX_MESSAGES_PER_EVENT or self.stream.unsent > MAX_UNSENT_BYTES
+
+    def _hold_back_or_go_on(self, guard: LinkGuard, count: int) -> None:
+        """Stop reading while messages have to wait; they are handled once the peer has read, or with later events."""
+        if not self.is_open:
+            return
+        was_held_back, self._is_held_back = self._is_held_back, self._must_wait(count)
+        if self._is_held_back:
+            self.stream.pause()
+        elif was_held_back and not self._is_paused:
+            self.stream.resume()
+        if self._is_held_back and self.stream.unsent <= MAX_UNSENT_BYTES:
+            running_loop().call_soon(self._handle_messages)
+        guard.on_activity()
 
     def eof_received(self) -> None:
         """Handle that the peer has closed its sending side or reset the connection."""
@@ -78,6 +158,8 @@
 
     def flushed(self) -> None:
         """Handle that the send buffer is empty."""
+        if self._is_held_back:
+            self._handle_messages()
         if self.on_flushed is not None:
             self.on_flushed()
 
@@ -88,6 +170,8 @@
     def _notify_closed(self) -> None:
         if not self.closed:
             self.closed = True
+            if self.guard is not None:
+                self.guard.on_closed()
             self.on_closed(self)
 
 
@@ -103,13 +187,20 @@
     MAX_ACCEPTS_PER_EVENT = 32  # so that a burst of connections does not delay other events for long
     ACCEPT_RETRY_US = 50_000  # after a failed accept, for example without free file descriptors
 
-    def __init__(self, reactor: Reactor, address: Address, on_accept: Callable[[socket.socket], None]) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        address: Address,
+        on_accept: Callable[[socket.socket], None],
+        is_bounded: bool = False,
+    ) -> None:
         """Bind the address and start listening.
 
         Args:
             reactor: Event loop of the process.
             address: Address to bind.
             on_accept: Takes ownership of each connected socket; if it raises OSError, the socket is closed.
+            is_bounded: Whether the kernel's buffers of each connection have a fixed size.
 
         Raises:
             OSError: The address cannot be bound.
@@ -118,6 +209,8 @@
         self._on_accept = on_accept
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if is_bounded:
+            limit_socket_buffers(self._sock)
         self._sock.bind((address.host, address.port))
         self._sock.listen(self.BACKLOG)
         self.port = int(self._sock.getsockname()[1])
--- a/lilacsill/mesh/runtime/rpc.py
+++ b/lilacsill/mesh/runtime/rpc.py
@@ -10,9 +10,12 @@
 from lilacsill.net.connecting import ConnectAttempt
 from lilacsill.timers import Timer
 
+from .connection_limit import make_room
+from .incoming_link import IncomingLink
 from .link import Link, Listener
 from .messages import Message
 from .reactor import Reactor
+from .resource_limits import ResourceLimits, default_limits
 
 CONNECT_TIMEOUT_US = 500_000
 
@@ -152,20 +155,28 @@
         listener: Accepts the links.
     """
 
-    def __init__(self, reactor: Reactor, address: Address, handlers: dict[type, RequestHandler]) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        address: Address,
+        handlers: dict[type, RequestHandler],
+        limits: ResourceLimits | None = None,
+    ) -> None:
         """Listen on the address.
 
         Args:
             reactor: Event loop of the process.
             address: Address to bind.
             handlers: By type of request. A peer that sends a message of any other type is disconnected.
+            limits: What the links may use; None: the defaults.
 
         Raises:
             OSError: The address cannot be bound.
         """
-        self._handlers = handlers
-        self.links: set[Link] = set()
-        self.listener = Listener(reactor, address, self._on_accept)
+        self._reactor, self._handlers = reactor, handlers
+        self._limits = limits or default_limits()
+        self.links: dict[Link, IncomingLink] = {}
+        self.listener = Listener(reactor, address, self._on_accept, is_bounded=True)
 
     def close(self) -> None:
         """Stop listening and close all links."""
@@ -174,7 +185,14 @@
             link.close()
 
     def _on_accept(self, sock: socket.socket) -> None:
-        self.links.add(Link(sock, self._on_message, self.links.discard))
+        if not make_room(self.links.values(), self._limits.links):
+            sock.close()
+            return
+        link = Link(sock, self._on_message, self._on_closed)
+        self.links[link] = IncomingLink(self._reactor, self._limits.memory, link)
+
+    def _on_closed(self, link: Link) -> None:
+        self.links.pop(link, None)
 
     def _on_message(self, link: Link, number: int, message: Message) -> None:
         handler = self._handlers.get(type(message))
--- a/lilacsill/mesh/store/process.py
+++ b/lilacsill/mesh/store/process.py
@@ -13,6 +13,7 @@
 from lilacsill.mesh.runtime.messages import Message, Status, StatusReply
 from lilacsill.mesh.runtime.metrics_server import STORE_PORT, Encode, MetricsServer
 from lilacsill.mesh.runtime.reactor import Reactor
+from lilacsill.mesh.runtime.resource_limits import limits_of_core
 from lilacsill.mesh.runtime.rpc import RequestHandler, RpcServer
 from lilacsill.mesh.runtime.settings import Settings
 
@@ -59,7 +60,8 @@
             store.frontend.max_state_bytes = (settings.disk_mb << 20) // DISK_TO_STATE_RATIO
         handlers: dict[type, RequestHandler] = {**store.handlers, Status: self._handle_status}
         environment.handlers = handlers
-        self._server = RpcServer(reactor, Address(settings.ip, port), handlers)
+        limits = limits_of_core(settings)
+        self._server = RpcServer(reactor, Address(settings.ip, port), handlers, limits)
         self._departure: PlannedDeparture | None = None
         self._metrics_server = MetricsServer(reactor, Address(settings.ip, STORE_PORT), self._load_metrics_encoder)
         store.start()
--- a/tests/control/control_plane.py
+++ b/tests/control/control_plane.py
@@ -42,7 +42,9 @@
 class Sockets:
     """Stands for `RpcClientPool` and `RpcServer`: questions go over the machine's virtual links."""
 
-    def __init__(self, reactor: Reactor, address: Address | None = None, handlers: Any = None) -> None:
+    def __init__(
+        self, reactor: Reactor, address: Address | None = None, handlers: Any = None, limits: Any = None
+    ) -> None:
         self._machine = reactor.machine
         if handlers is not None:
             self._machine.handlers = handlers
@@ -83,7 +85,7 @@
     def __init__(self, patch: pytest.MonkeyPatch, seed: int = 1, cores: int = 3, lost: int = 1) -> None:
         patch.setattr(registries, "RpcClientPool", Sockets)
         patch.setattr(registries, "RpcServer", Sockets)
-        patch.setattr(registries, "ControlServer", lambda reactor, address, handle: SimpleNamespace())
+        patch.setattr(registries, "ControlServer", lambda reactor, address, handle, **options: SimpleNamespace())
         self.fleet, _ = begun(seed, cores=cores, lost=lost)
         self.net, self.time, self.stores = self.fleet.net, self.fleet.net.time, self.fleet.stores
         self.registries: dict[str, registries.Process] = {}
--- a/tests/control/test_point_5_callers.py
+++ b/tests/control/test_point_5_callers.py
@@ -61,7 +61,7 @@
     """A registry whose store is at that address; it has no peers and no proxies."""
     monkeypatch.setattr(operator_api, "CALL_TIMEOUT_US", call_us)
     monkeypatch.setattr(operator_api, "MIN_ATTEMPT_US", 10_000)
-    monkeypatch.setattr(registry_process, "RpcServer", lambda reactor, address, handlers: None)
+    monkeypatch.setattr(registry_process, "RpcServer", lambda reactor, address, handlers, limits: None)
     monkeypatch.setattr(mesh.reactor, "on_signal", lambda number, call: None)
     first_port = store.port - STORE_PORT_OFFSET
     return Registry(replace(settings(), internal_ports=(first_port, store.port)), mesh.reactor)
