Control, readiness and metrics ports are bounded: bodies, requests ahead, unread responses

Callers of these ports, at every role, took the process to 270 MB and more with 16 bodies that stop short (limit 96), to 150 to 170 MB with unfinished heads of short lines, and to 817 descriptors (limit 400). 1,000 calls sent ahead on one connection got 159 answers.

Cause: a body of up to 32 MB was collected for anybody; all requests of a read were handled in nested calls until the stack was full; responses were made however many the caller left unread; the number of connections had no limit, and a caller that does not read was never closed.

Now a body has at most 64 KiB (operators' calls: 1/32 of the budget of memory, 413 above); one request of a connection is handled per turn of the event loop; with 16 requests that wait, or 256 KiB unread, the connection is not read; connections have accounts in the budget of memory and a limit to their number, where the one that has been silent for longest makes room; and the parser of a connection that has ended is freed at once.

--- a/lilacsill/mesh/proxy/process.py
+++ b/lilacsill/mesh/proxy/process.py
@@ -78,8 +78,12 @@
         )
         self._clients = ClientListener(reactor, settings.listen["Outgoing"], self._forwarder)
         heartbeats = HeartbeatApi(reactor, self._gateway, self._discovery.announce)
-        self._heartbeat_server = ControlServer(reactor, settings.listen["ControlPort"], heartbeats.handle)
-        self._readiness_server = ControlServer(reactor, settings.listen["ReadyCheck"], self._on_readiness_check)
+        self._heartbeat_server = ControlServer(
+            reactor, settings.listen["ControlPort"], heartbeats.handle, limits=limits
+        )
+        self._readiness_server = ControlServer(
+            reactor, settings.listen["ReadyCheck"], self._on_readiness_check, limits=limits
+        )
         self._health_probe = HealthProbe(
             reactor,
             self._gateway.pool,
@@ -88,7 +92,9 @@
             lambda: self._config.health_path(settings.service),
             self._discovery.announce,
         )
-        self._metrics_server = MetricsServer(reactor, Address(settings.ip, PROXY_PORT), self._load_metrics_encoder)
+        self._metrics_server = MetricsServer(
+            reactor, Address(settings.ip, PROXY_PORT), self._load_metrics_encoder, limits
+        )
         self._shutdown = ShutdownSequence(
             reactor,
             settings.timing.grace_period_us,
--- a/lilacsill/mesh/registry/process.py
+++ b/lilacsill/mesh/registry/process.py
@@ -15,7 +15,7 @@
 from lilacsill.mesh.runtime.metrics_server import REGISTRY_PORT, Encode, MetricsServer
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.runtime.reactor_environment import ReactorEnvironment
-from lilacsill.mesh.runtime.resource_limits import limits_of_core
+from lilacsill.mesh.runtime.resource_limits import limits_of_core, max_call_bytes
 from lilacsill.mesh.runtime.rpc import RequestHandler, RpcClientPool, RpcServer, SendReply
 from lilacsill.mesh.runtime.settings import Settings
 
@@ -87,8 +87,12 @@
             reactor,
             settings.listen["ControlPort"],
             self._operator_api.handle,
+            limits=limits,
+            max_body_bytes=max_call_bytes(settings),
+        )
+        self._metrics_server = MetricsServer(
+            reactor, Address(settings.ip, REGISTRY_PORT), self._load_metrics_encoder, limits
         )
-        self._metrics_server = MetricsServer(reactor, Address(settings.ip, REGISTRY_PORT), self._load_metrics_encoder)
         reactor.on_signal(signal.SIGTERM, self._shut_down)
         reactor.on_signal(signal.SIGHUP, lambda: None)  # ignored: the settings are read only at startup
         config_follower.start()
--- a/lilacsill/mesh/runtime/control.py
+++ b/lilacsill/mesh/runtime/control.py
@@ -13,12 +13,19 @@
 from lilacsill.http1.connection import Connection
 from lilacsill.http1.message import Message, Reader, encode_response
 
+from .connection_limit import make_room
 from .link import Listener
 from .log_ring import log
+from .memory_budget import MemoryBudget
 from .reactor import Reactor
-
-MAX_BODY_BYTES = 32 * 1024 * 1024  # of a request
-IDLE_TIMEOUT_US = 30_000_000  # after which a connection without a request is closed
+from .resource_limits import ResourceLimits, default_limits
+
+MAX_BODY_BYTES = 64 * 1024  # of a request, unless the server sets another limit; heartbeats take a few hundred bytes
+IDLE_TIMEOUT_US = 30_000_000  # after which a connection without a request, or whose client does not read, is closed
+MAX_QUEUED_REQUESTS = 16  # of one connection; with more of them it is not read
+MAX_UNSENT_BYTES = 256 * 1024  # above this, further requests of the connection wait until the client has read
+READ_BYTES = 16 * 1024  # at once
+MIN_COUNTED_BYTES = 16 * 1024  # connections that hold less are not counted
 FAILED_BODY = b'{"Message":"failed"}'
 
 Respond = Callable[[int, bytes], None]
@@ -50,7 +57,13 @@
     """
 
     def __init__(
-        self, reactor: Reactor, address: Address, handle: Handle, content_type: str = "application/json"
+        self,
+        reactor: Reactor,
+        address: Address,
+        handle: Handle,
+        content_type: str = "application/json",
+        limits: ResourceLimits | None = None,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Listen on the address.
 
@@ -59,6 +72,8 @@
             address: Address to bind.
             handle: Handles the requests.
             content_type: Content-Type of all responses.
+            limits: What the connections may use; None: the defaults.
+            max_body_bytes: Maximum size of the body of a request; a larger one is answered with 413.
 
         Raises:
             OSError: The address cannot be bound.
@@ -67,8 +82,10 @@
         self.handle = handle
         self.content_type = content_type
         self.draining = False
+        self.max_body_bytes = max_body_bytes
+        self._limits = limits or default_limits()
         self.connections: set[ControlConnection] = set()
-        self.listener = Listener(reactor, address, self._on_accept)
+        self.listener = Listener(reactor, address, self._on_accept, is_bounded=True)
 
     @property
     def is_busy(self) -> bool:
@@ -81,7 +98,15 @@
         for connection in list(self.connections):
             connection.close()
 
+    @property
+    def memory(self) -> MemoryBudget:
+        """The memory that the connections of this process share."""
+        return self._limits.memory
+
     def _on_accept(self, sock: socket.socket) -> None:
+        if not make_room(self.connections, self._limits.callers):
+            sock.close()
+            return
         connection = ControlConnection(self)
         connection.attach(sock)
         self.connections.add(connection)
@@ -97,32 +122,85 @@
     def __init__(self, server: ControlServer) -> None:
         super().__init__()
         self._server = server
-        self._reader = Reader(HttpRequestParser, MAX_BODY_BYTES)
+        self._reader = Reader(HttpRequestParser, server.max_body_bytes)
         self._queue: deque[Message] = deque()
         self._handling = False
-        self._idle_timer = server.reactor.after(IDLE_TIMEOUT_US, self.close)
+        self._account = server.memory.open_account(self.evict)
+        self._last_activity_at = server.reactor.now()
+        self._idle_timer = server.reactor.after(IDLE_TIMEOUT_US, self._on_idle)
+
+    def attach(self, sock: socket.socket) -> None:
+        """Take over a connected socket."""
+        super().attach(sock)
+        assert self.stream is not None
+        self.stream.read_limit = lambda: READ_BYTES
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is being handled or its response is not sent completely."""
         return self._handling or self.unsent > 0
 
+    @property
+    def idle_since(self) -> int | None:
+        """Since when only the client could go on; None while a request is being handled."""
+        return None if self._handling else self._last_activity_at
+
     def on_data(self, data: bytes) -> None:
         """Parse requests from the received bytes."""
         self._queue += self._reader.feed(data)
         self._handle_next()
+        self._report()
 
     def on_end(self) -> None:
         """Remove the closed connection from the server."""
         self._server.connections.discard(self)
         self._idle_timer.cancel()
+        self._account.close()
+        self._queue.clear()
+
+    def connection_lost(self) -> None:
+        """Release the parser."""
+        super().connection_lost()
+        self._reader.end()
+
+    def evict(self) -> None:
+        """Close the connection at once."""
+        self.drop()
+        self.on_end()
+
+    def flushed(self) -> None:
+        """Go on: the client has read."""
+        super().flushed()
+        self._handle_next()
+        self._report()
+
+    def _on_idle(self) -> None:
+        if self.unsent:  # `close` would wait until the client reads
+            self.drop()
+        else:
+            self.close()
+
+    def _report(self) -> None:
+        """Report what the connection holds, and read on unless requests wait."""
+        if self.closed or self.stream is None:
+            return
+        self._last_activity_at = now = self._server.reactor.now()
+        held = self.unsent + self._reader.buffered_bytes + sum(request.memory_bytes for request in self._queue)
+        if held < MIN_COUNTED_BYTES:
+            held = 0
+        if held != self._account.held:
+            self._account.update(held, now)
+        if len(self._queue) > MAX_QUEUED_REQUESTS or self.unsent > MAX_UNSENT_BYTES:
+            self.stream.pause()
+        else:
+            self.stream.resume()
 
     def on_fault(self) -> None:
         """Reset the connection after an unhandled exception in this class."""
         self.drop()
 
     def _handle_next(self) -> None:
-        if self._handling or not self.open:
+        if self._handling or not self.open or self.unsent > MAX_UNSENT_BYTES:
             return
         if self._queue:
             self._handle(self._queue.popleft())
@@ -152,11 +230,16 @@
         if last:
             headers.append(("Connection", "close"))
         self.send(encode_response(status, headers, body, request.method == b"HEAD"))
-        self._idle_timer = self._server.reactor.after(IDLE_TIMEOUT_US, self.close)
+        self._idle_timer = self._server.reactor.after(IDLE_TIMEOUT_US, self._on_idle)
         if last:
             self.close()
-        else:
-            self._handle_next()
+        elif self._queue or self._reader.error is not None:
+            # Not at once: a client that sends many requests ahead must not delay all others.
+            self._server.reactor.call_soon(self._go_on)
+
+    def _go_on(self) -> None:
+        self._handle_next()
+        self._report()
 
 
 class _ConnectionResponder:
--- a/lilacsill/mesh/runtime/metrics_server.py
+++ b/lilacsill/mesh/runtime/metrics_server.py
@@ -17,6 +17,7 @@
 from .control import ControlServer, Respond
 from .log_ring import log
 from .reactor import Reactor
+from .resource_limits import ResourceLimits
 
 PATH = b"/metrics"
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -32,19 +33,22 @@
 class MetricsServer:
     """Serves `GET /metrics`."""
 
-    def __init__(self, reactor: Reactor, address: Address, load_encoder: LoadEncoder) -> None:
+    def __init__(
+        self, reactor: Reactor, address: Address, load_encoder: LoadEncoder, limits: ResourceLimits | None = None
+    ) -> None:
         """Listen on the address; if it cannot be bound, the process runs without metrics.
 
         Args:
             reactor: Event loop of the process.
             address: Address to bind.
             load_encoder: Called with the first fetch, and again with a later fetch if it failed.
+            limits: What the connections may use; None: the defaults.
         """
         self._reactor, self._load_encoder = reactor, load_encoder
         self._encode: Encode | None = None  # None: not loaded
         self._waiting: list[Respond] = []  # pending fetches that wait until the encoder is loaded
         try:
-            ControlServer(reactor, address, self._handle, CONTENT_TYPE)
+            ControlServer(reactor, address, self._handle, CONTENT_TYPE, limits=limits)
         except OSError as error:
             log.warning("cannot bind the metrics address %s, running without metrics: %s", address, error)
 
--- a/lilacsill/mesh/store/process.py
+++ b/lilacsill/mesh/store/process.py
@@ -63,7 +63,9 @@
         limits = limits_of_core(settings)
         self._server = RpcServer(reactor, Address(settings.ip, port), handlers, limits)
         self._departure: PlannedDeparture | None = None
-        self._metrics_server = MetricsServer(reactor, Address(settings.ip, STORE_PORT), self._load_metrics_encoder)
+        self._metrics_server = MetricsServer(
+            reactor, Address(settings.ip, STORE_PORT), self._load_metrics_encoder, limits
+        )
         store.start()
         reactor.on_signal(signal.SIGTERM, self._on_terminate)
         reactor.on_signal(signal.SIGHUP, lambda: None)  # ignored: a running replica does not use new seeds
--- a/tests/mesh/test_metrics_server.py
+++ b/tests/mesh/test_metrics_server.py
@@ -44,8 +44,8 @@
     def __init__(self, reactor: Reactor, load_encoder: LoadEncoder, patch: pytest.MonkeyPatch) -> None:
         self.reactor, servers = reactor, list[ControlServer]()
 
-        def listen(*arguments: object) -> ControlServer:
-            servers.append(ControlServer(*arguments))  # type: ignore[arg-type]
+        def listen(*arguments: object, **options: object) -> ControlServer:
+            servers.append(ControlServer(*arguments, **options))  # type: ignore[arg-type]
             return servers[0]
 
         patch.setattr(metrics_server, "ControlServer", listen)
