Operators' calls have a size that the store can check within its memory

Six changes of 4 MB of small JSON values (`[],`, `{},`, `"",`) took a registry to 102 to 106 MB (limit 96), and the store that checks one decodes it into ten to thirty times its size; for an invalid call cerberus lists every violation on top.

Of an invalid call over 16 KiB only the first violation is reported, in msgspec's words. A call nested too deeply for the decoder is 400 and no longer without an answer.

--- a/lilacsill/mesh/store/call_form.py
+++ b/lilacsill/mesh/store/call_form.py
@@ -16,13 +16,21 @@
 Rule = Mapping[str, Any]
 
 
-def matches_schema(document: object) -> bool:
-    """Return whether a call decoded from JSON conforms to the schema."""
+class SchemaProblem(msgspec.Struct, frozen=True):
+    """The first value of a call that does not conform to the schema."""
+
+    path: str  # in the form of msgspec, such as `$.ReplaceItems.Listeners[0]`
+    text: str
+
+
+def schema_problem(document: object) -> SchemaProblem | None:
+    """Return where a call decoded from JSON does not conform to the schema; None if it does."""
     try:
         msgspec.convert(document, _CALL)
-    except msgspec.ValidationError:
-        return False
-    return True
+    except msgspec.ValidationError as error:
+        text, _, path = str(error).partition(" - at ")
+        return SchemaProblem(path.strip("`") or "$", text)
+    return None
 
 
 def type_of(rule: Rule) -> Any:
--- a/lilacsill/mesh/store/calls.py
+++ b/lilacsill/mesh/store/calls.py
@@ -13,7 +13,7 @@
 
 from lilacsill.mesh.tenants.tenant import TENANT, encode_key
 
-from .call_form import matches_schema
+from .call_form import schema_problem
 from .call_schema import CALL_SCHEMA
 from .rejections import (
     ContradictoryChanges,
@@ -30,6 +30,8 @@
 if TYPE_CHECKING:
     from cerberus import Validator
 
+# cerberus lists each violation of a call, in much memory and time; of a larger one only the first is reported.
+MAX_REPORTED_BYTES = 16 * 1024
 _KIND_OF_REMOVAL = {
     "Customers": TENANT,
     "Routing": ROUTE,
@@ -59,7 +61,9 @@
         document = msgspec.json.decode(body)
     except msgspec.DecodeError as error:
         return Failure(NotJson(str(error)))
-    return _check_schema(document).bind(_extract_changes)
+    except RecursionError:
+        return Failure(NotJson("nested too deeply"))
+    return _check_schema(document, len(body)).bind(_extract_changes)
 
 
 def match_of(route: dict[str, Any]) -> RouteMatch:
@@ -67,11 +71,14 @@
     return RouteMatch(route["Host"].lower(), route["Rule"]["When"]["PathPrefix"])
 
 
-def _check_schema(document: Any) -> Result[dict[str, Any], Rejection]:
+def _check_schema(document: Any, size: int) -> Result[dict[str, Any], Rejection]:
     if not isinstance(document, dict):
         return Failure(NotAnObject())
-    if matches_schema(document):
+    problem = schema_problem(document)
+    if problem is None:
         return Success(document)
+    if size > MAX_REPORTED_BYTES:
+        return Failure(SchemaViolation(problem.path, problem.text))
     validator = _load_validator()
     if validator.validate(document, normalize=False):
         return Success(document)
--- a/lilacsill/mesh/store/frontend.py
+++ b/lilacsill/mesh/store/frontend.py
@@ -22,7 +22,7 @@
 from .draft import Draft
 from .forwarding import OUTCOME_UNKNOWN, Forwarding
 from .recent_refusals import RecentRefusals
-from .rejections import Rejection, StateTooLarge
+from .rejections import CallTooLarge, Rejection, StateTooLarge
 from .replica import Replica
 from .replies import Replier
 
@@ -31,6 +31,7 @@
 
 CALL_TIMEOUT_US = 800_000
 MAX_WAITING_CALLS = 64
+DEFAULT_MAX_CALL_BYTES = 4 << 20
 DEFAULT_MAX_STATE_BYTES = 64 << 20  # if the settings do not give the size of the disk
 MAX_REPORTED_REJECTIONS = 16
 REJECTED_RECENTLY = Reply(503, b'{"Message":"it was refused a moment ago; send it again"}')
@@ -50,6 +51,7 @@
     """The handler of operators' calls at one member.
 
     Attributes:
+        max_call_bytes: Larger calls are rejected, and those that wait at once have at most this size together.
         max_state_bytes: Calls that enlarge the state beyond this size are rejected.
         rejections: Status and reason of the latest rejected calls, newest last, for operators.
         rejected: Number of rejected calls in this run of the process, by type of rejection.
@@ -61,7 +63,9 @@
         self._commit_check = commit_check
         self._checked_calls = 0  # whose callers are being checked
         self._waiting_calls: list[_WaitingCall] = []
+        self._waiting_bytes = 0  # of all calls that are being checked or wait
         self._recent_refusals = RecentRefusals()
+        self.max_call_bytes = DEFAULT_MAX_CALL_BYTES
         self.max_state_bytes = DEFAULT_MAX_STATE_BYTES
         self.rejections: list[str] = []
         self.rejected: Counter[str] = Counter()
@@ -77,6 +81,10 @@
         if not replica.is_head or not replica.complete:
             self._forwarding.forward(request, self._head, self.handle_patch, reply)
             return
+        size = len(request.body)
+        if size > self.max_call_bytes:
+            reply(self._rejection(CallTooLarge(size, self.max_call_bytes)))
+            return
         # These modules import `returns`, which only a head needs.
         from .calls import parse_call
         from .validation import is_success
@@ -86,16 +94,22 @@
             rejection = self._rejection(parsed.failure())
             self._commit_check.confirm(lambda ok: reply(rejection if ok else OUTCOME_UNKNOWN))
             return
-        if self._checked_calls + len(self._waiting_calls) >= MAX_WAITING_CALLS:
+        if self._is_overloaded_by(size):
             reply(OVERLOADED)
             return
         answer = once(reply)
         self._environment.after(CALL_TIMEOUT_US, answer, OUTCOME_UNKNOWN)
         call = _WaitingCall(request.body, parsed.unwrap(), answer)
         self._checked_calls += 1
+        self._waiting_bytes += size
         on_checked = partial(self._on_caller_checked, call, request.origin, replica.view.number)
         check_caller(self._environment, request.origin, on_checked)
 
+    def _is_overloaded_by(self, size: int) -> bool:
+        """Return whether a call of this size is one too many."""
+        waiting = self._checked_calls + len(self._waiting_calls)
+        return waiting >= MAX_WAITING_CALLS or self._waiting_bytes + size > self.max_call_bytes
+
     def _on_caller_checked(
         self, call: _WaitingCall, origin: CallOrigin | None, view_number: int, is_waiting: bool
     ) -> None:
@@ -103,8 +117,10 @@
         if not is_waiting and origin is not None:
             self.abandoned += 1
             log.info("call not accepted: no caller waits for it at registry %s", origin.registry)
+            self._waiting_bytes -= len(call.body)
             call.reply(CALLER_LEFT)
         elif self._replica.view.number != view_number:
+            self._waiting_bytes -= len(call.body)
             call.reply(OUTCOME_UNKNOWN)
         else:
             self._waiting_calls.append(call)
@@ -115,6 +131,7 @@
         if not self._waiting_calls or not self._chain.may_append:
             return
         calls, self._waiting_calls = self._waiting_calls, []
+        self._waiting_bytes -= sum(len(call.body) for call in calls)
         draft = Draft(self._replica.state)
         answers = [(call.reply, self._validate(draft, call)) for call in calls]
 
--- a/lilacsill/mesh/store/process.py
+++ b/lilacsill/mesh/store/process.py
@@ -13,7 +13,7 @@
 from lilacsill.mesh.runtime.messages import Message, Status, StatusReply
 from lilacsill.mesh.runtime.metrics_server import STORE_PORT, Encode, MetricsServer
 from lilacsill.mesh.runtime.reactor import Reactor
-from lilacsill.mesh.runtime.resource_limits import limits_of_core
+from lilacsill.mesh.runtime.resource_limits import limits_of_core, max_call_bytes
 from lilacsill.mesh.runtime.rpc import RequestHandler, RpcServer
 from lilacsill.mesh.runtime.settings import Settings
 
@@ -56,6 +56,7 @@
             DiskContents(disk.items, disk.facts),
         )
         disk.items = []
+        store.frontend.max_call_bytes = max_call_bytes(settings)
         if settings.disk_mb:
             store.frontend.max_state_bytes = (settings.disk_mb << 20) // DISK_TO_STATE_RATIO
         handlers: dict[type, RequestHandler] = {**store.handlers, Status: self._handle_status}
--- a/lilacsill/mesh/store/rejections.py
+++ b/lilacsill/mesh/store/rejections.py
@@ -40,6 +40,20 @@
         return f"not JSON: {self.problem}"
 
 
+class CallTooLarge(Rejection, frozen=True):
+    """The body of the call is larger than a member of the store can check within its memory."""
+
+    status: ClassVar[int] = TOO_LARGE
+
+    size: int
+    limit: int
+
+    @property
+    def message(self) -> str:
+        """The text for the operator."""
+        return f"the call has {self.size} bytes, {self.limit} are allowed: send it in parts"
+
+
 class NotAnObject(Rejection, frozen=True):
     """The body of the call is JSON, but not an object."""
 
--- a/tests/mesh/test_refused_calls.py
+++ b/tests/mesh/test_refused_calls.py
@@ -43,6 +43,16 @@
     assert 'lilacsill_calls_rejected_total{reason="SchemaViolation"} 3.0' in figures
 
 
+def test_a_call_that_is_too_large_to_be_checked_is_rejected_unread() -> None:
+    fleet, operator = begun(7)
+    time, statuses = fleet.net.time, list[int]()
+    for store in fleet.stores.values():
+        store.frontend.max_call_bytes = 1000
+    operator.call({"ReplaceItems": {"Unknown": ["x" * 1000]}}, statuses.append)
+    time.run(time.now + SECOND)
+    assert statuses == [413]
+
+
 def test_a_registry_logs_the_answers_that_are_no_success(monkeypatch: pytest.MonkeyPatch) -> None:
     ring = LogRing()
     monkeypatch.setattr(operator_api, "log", ring)
