Clients of a proxy are bounded: memory by a budget, back-pressure, connections, silence

Callers saw a proxy that ran out of memory: heads of legal size made of short lines (129 to 173 MB, limit 96), large bodies at once or short of their end (97 to 283 MB), responses that nobody reads (187 and 209 MB); and 1,620 descriptors open (limit 400).

Cause: a header line of four bytes takes some 200 in memory, times 144 requests of each connection; a body that cannot be streamed yet, behind 16 requests in flight or behind the last request of a connection, was collected as a whole; requests were forwarded however much their client left unread; connections had no limit, and one whose body or reading stopped stayed for ever; parsers of closed connections waited for the garbage collector.

Now a connection has at most 1 MiB in flight beside its first request, 256 KiB that wait or are unread, and a body that must wait is not read on; what is sent behind a last request is discarded. Connections that hold 16 KiB or more have an account in the budget of the process. Above three quarters of it, requests that hold more than that get 503 with `Retry-After` before they are forwarded; above all of it, those that block the most for the longest are closed. Half of the sockets are for clients: the one that has been silent for longest makes room. IdleTimeoutMs also ends bodies and responses that stand still.

--- a/lilacsill/mesh/proxy/backend_connection.py
+++ b/lilacsill/mesh/proxy/backend_connection.py
@@ -185,6 +185,11 @@
             handler.on_response(response)
         super().eof_received()
 
+    def connection_lost(self) -> None:
+        """Release the parser."""
+        super().connection_lost()
+        self._reader.end()
+
     def on_end(self) -> None:
         """Fail the request: the backend has closed the connection."""
         self._fail(FailureReason.CONNECTION_CLOSED)
--- a/lilacsill/mesh/proxy/client_connection.py
+++ b/lilacsill/mesh/proxy/client_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections import deque
 from typing import Protocol
 
@@ -9,15 +10,22 @@
 
 from lilacsill.http1.connection import Connection
 from lilacsill.http1.message import Message, Reader, origin_form
+from lilacsill.mesh.runtime.memory_budget import MemoryBudget
 from lilacsill.mesh.runtime.reactor import Reactor
+from lilacsill.mesh.runtime.socket_buffers import SOCKET_BUFFER_BYTES
 
 from .forwarder import Forwarder
 from .pending_response import PendingResponse
 
 MAX_IN_FLIGHT = 16  # requests of one connection; further ones are read and wait
-# Complete requests that wait beyond MAX_IN_FLIGHT. With more of them the connection is not read, so its end is not
+MAX_IN_FLIGHT_BYTES = 1024 * 1024  # of these requests and their responses; above it further ones wait, too
+# Complete requests that wait. With more of them, or larger ones, the connection is not read, so its end is not
 # detected either.
 MAX_PIPELINED = 128
+MAX_PIPELINED_BYTES = 256 * 1024
+MAX_UNSENT_BYTES = 256 * 1024  # of responses; a client that does not read them gets no further ones
+READ_BYTES = 64 * 1024  # at once
+MIN_COUNTED_BYTES = 16 * 1024  # connections that hold less are not counted
 MAX_BUFFERED_BYTES = 128 * 1024  # of a request body not accepted by the backend; above this the client is not read
 RESUME_BELOW_BYTES = MAX_BUFFERED_BYTES // 2
 STREAMING_THRESHOLD_BYTES = 64 * 1024  # a longer request body is forwarded while it arrives
@@ -30,6 +38,7 @@
 
     reactor: Reactor
     forwarder: Forwarder
+    memory: MemoryBudget  # shared by all connections of the process
     is_draining: bool  # the process is shutting down
 
     def connection_ended(self, connection: ClientConnection) -> None:
@@ -47,7 +56,12 @@
             HttpRequestParser, limits.max_body_bytes, keep_header_lines=True, head_limit=limits.max_head_bytes
         )
         self._responses: deque[PendingResponse] = deque()  # in request order
-        self._pipelined: deque[Message] = deque()  # complete requests beyond MAX_IN_FLIGHT
+        self._in_flight_bytes = 0  # of the requests that `_responses` belong to
+        self._pipelined: deque[Message] = deque()  # complete requests that wait
+        self._pipelined_bytes = 0
+        self._account = owner.memory.open_account(self.evict)
+        self._is_report_scheduled = False
+        self._unsent_before = 0  # at the last check for progress
         self._upload: PendingResponse | None = None  # to the request whose body is forwarded while it arrives
         self._is_closing = False  # after the pending responses; requests behind them are not processed
         self.last_activity_at = owner.reactor.now()
@@ -58,24 +72,89 @@
         """Whether no request is in flight, waiting or partly received."""
         return not self._responses and not self._pipelined and self._reader.current is None
 
+    @property
+    def idle_since(self) -> int | None:
+        """Since when only the client could go on, by sending or reading; None: the client is not waited for."""
+        if self.stream is not None and self.stream.paused and not self.unsent:
+            return None
+        is_waiting = self.is_idle or self._reader.current is not None or self.unsent > 0 or self._is_closing
+        return self.last_activity_at if is_waiting and not self._is_at_work else None
+
+    @property
+    def _is_at_work(self) -> bool:
+        """Whether the next bytes of a response are due from this proxy."""
+        return bool(self._responses) and not self.unsent and self._upload is None
+
+    def check_progress(self) -> None:
+        """Record that the client is active if it has read a part of what waits for it."""
+        unsent = self.unsent
+        if unsent != self._unsent_before:
+            self._unsent_before = unsent
+            self.last_activity_at = self._owner.reactor.now()
+
     # Requests
 
+    def attach(self, sock: socket.socket) -> None:
+        """Take over a connected socket."""
+        super().attach(sock)
+        assert self.stream is not None
+        self.stream.read_limit = lambda: READ_BYTES
+
     def on_data(self, data: bytes) -> None:
         """Handle bytes from the client."""
+        if self._is_closing and self._upload is None:
+            return  # the last request has been received
         self._apply_limits()
         complete = self._reader.feed(data)
         if self._upload is not None:
             complete = self._continue_upload(self._upload, complete)
         self._pipelined += complete
+        self._pipelined_bytes += sum(request.memory_bytes for request in complete)
         self.last_activity_at = self._owner.reactor.now()
         if self._reader.current is None or self._reader.in_body:
             self.head_started_at = None
         elif self.head_started_at is None:
             self.head_started_at = self.last_activity_at
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Forward what may be forwarded now, and read on unless too much waits."""
         self._forward_pipelined()
         current = self._reader.current
         if current is not None and self._may_stream(current):
             self._start_upload(current)
+        self._pause_or_resume()
+        self._report()
+
+    def _pause_or_resume(self) -> None:
+        if self.stream is None:
+            return
+        if self._has_too_much():
+            self.stream.pause()
+        elif self._upload is None:
+            self.stream.resume()
+
+    def _has_too_much(self) -> bool:
+        """Return whether requests wait that must be forwarded, or responses that must be read, before further input."""
+        if self._is_closing:
+            return False  # the input is discarded
+        if len(self._pipelined) > MAX_PIPELINED or self._pipelined_bytes > MAX_PIPELINED_BYTES:
+            return True
+        if self.unsent > MAX_UNSENT_BYTES:
+            return True
+        current = self._reader.current
+        return current is not None and self._upload is None and len(current.body) > STREAMING_THRESHOLD_BYTES
+
+    def _may_forward(self) -> bool:
+        """Return whether one more request may be in flight."""
+        if self._is_closing or self.closed or self.unsent > MAX_UNSENT_BYTES:
+            return False
+        if not self._responses:
+            return True
+        return len(self._responses) < MAX_IN_FLIGHT and self._held_in_flight() < MAX_IN_FLIGHT_BYTES
+
+    def _held_in_flight(self) -> int:
+        return self._in_flight_bytes + sum(response.unsent for response in self._responses)
 
     def _apply_limits(self) -> None:
         """Apply the limits in force, which may have changed since the last bytes from the client."""
@@ -85,32 +164,35 @@
             self._reader.set_limits(limits.max_body_bytes, limits.max_head_bytes)
 
     def _forward_pipelined(self) -> None:
-        while self._pipelined and len(self._responses) < MAX_IN_FLIGHT and not self._is_closing and not self.closed:
-            self._forward(self._pipelined.popleft(), is_complete=True)
-        if self.stream is not None:
-            if len(self._pipelined) > MAX_PIPELINED:
-                self.stream.pause()
-            elif self._upload is None:
-                self.stream.resume()
+        while self._pipelined and self._may_forward():
+            request = self._pipelined.popleft()
+            self._pipelined_bytes -= request.memory_bytes
+            self._forward(request, is_complete=True)
         error = self._reader.error
         if error is not None and not self._pipelined and not self._is_closing and not self.closed:
             self._answer_and_close(error.status)
 
     def _forward(self, request: Message, is_complete: bool) -> PendingResponse:
         request.target = origin_form(request.target)
-        response = PendingResponse(self, request)
-        self._responses.append(response)
+        response = self._add_response(request)
         # While the proxy shuts down, each request is the last one on its connection.
         self._is_closing = not request.keep_alive or self._owner.is_draining
-        response.forwarded = self._owner.forwarder.forward(request, response, is_complete)
+        if self._owner.memory.is_tight and response.request_bytes > MIN_COUNTED_BYTES:
+            self._owner.forwarder.refuse_for_memory(response)
+        else:
+            response.forwarded = self._owner.forwarder.forward(request, response, is_complete)
         return response
 
     def _answer_and_close(self, status: int) -> None:
         """Answer a request that cannot be read with an error status, and close the connection after it."""
         self._is_closing = True
-        response = PendingResponse(self, Message())
+        self._add_response(Message()).send_response(status, [], b"")
+
+    def _add_response(self, request: Message) -> PendingResponse:
+        response = PendingResponse(self, request)
         self._responses.append(response)
-        response.send_response(status, [], b"")
+        self._in_flight_bytes += response.request_bytes
+        return response
 
     # Streamed request bodies
 
@@ -120,12 +202,13 @@
             and request.received > STREAMING_THRESHOLD_BYTES
             and self._upload is None
             and not self._pipelined
-            and len(self._responses) < MAX_IN_FLIGHT
-            and not self._is_closing
+            and self._may_forward()
         )
 
     def _start_upload(self, request: Message) -> None:
         self._upload = self._forward(request, is_complete=False)
+        if self.stream is not None:
+            self.stream.resume()  # it was paused if the body had to wait for earlier requests
 
     def _continue_upload(self, response: PendingResponse, complete: list[Message]) -> list[Message]:
         """Forward the part of the body that has arrived. Return the other requests that are complete."""
@@ -179,12 +262,13 @@
                 self.drop()
                 break
             self._responses.popleft()
+            self._in_flight_bytes -= first.request_bytes
             self.last_activity_at = self._owner.reactor.now()
             if self._is_closing and not self._responses:
                 self._finish()
                 break
-        if not self.closed and len(self._responses) < MAX_IN_FLIGHT and self._pipelined:
-            self._owner.reactor.call_soon(self._forward_pipelined)
+        if self._pipelined or self._account.held or self.unsent or response.unsent:
+            self._schedule_report()
         return self.unsent + response.unsent
 
     def _send_buffered(self, response: PendingResponse) -> None:
@@ -198,9 +282,50 @@
     def flushed(self) -> None:
         """Resume the first response: the client has accepted all bytes sent."""
         super().flushed()
+        self.last_activity_at = self._owner.reactor.now()
+        self._schedule_report()
         if self._responses and self._responses[0].forwarded is not None:
             self._responses[0].forwarded.resume_response()
 
+    # Memory
+
+    def _schedule_report(self) -> None:
+        """Go on soon: what the connection holds has changed, in the middle of something else."""
+        if not self._is_report_scheduled and not self.closed:
+            self._is_report_scheduled = True
+            self._owner.reactor.call_soon(self._on_report_due)
+
+    def _on_report_due(self) -> None:
+        self._is_report_scheduled = False
+        if not self.closed:
+            self._go_on()
+
+    def _report(self) -> None:
+        """Report what the connection holds, if it is much."""
+        if self.closed or self.stream is None:
+            return
+        held = self._held_bytes()
+        if held < MIN_COUNTED_BYTES:
+            held = 0
+        if held != self._account.held:
+            self._account.update(held, self.last_activity_at)
+
+    def _held_bytes(self) -> int:
+        assert self.stream is not None
+        held = self._pipelined_bytes + self._held_in_flight() + self._reader.buffered_bytes
+        if self._upload is not None and self._upload.forwarded is not None:
+            held += self._upload.forwarded.held_body_bytes
+        if self.unsent:
+            held += self.unsent + SOCKET_BUFFER_BYTES
+        if self.stream.paused:
+            held += SOCKET_BUFFER_BYTES
+        return held
+
+    def evict(self) -> None:
+        """Close the connection at once, and free what it holds."""
+        self.drop()
+        self.on_end()
+
     def _finish(self) -> None:
         """Close after the last response.
 
@@ -222,6 +347,7 @@
         if self._responses and not self._responses[-1].is_head_sent:
             self._is_closing = True
             self._pipelined.clear()
+            self._pipelined_bytes = 0
 
     def time_out_head(self) -> None:
         """End a connection whose client has started a request head but not completed it in time."""
@@ -235,8 +361,15 @@
     def on_end(self) -> None:
         """Cancel all requests of the connection: it has ended, so their responses cannot be delivered."""
         self._owner.connection_ended(self)
+        self._account.close()
         for response in self._responses:
             if response.forwarded is not None:
                 response.forwarded.cancel()
         self._responses.clear()
         self._pipelined.clear()
+        self._in_flight_bytes = self._pipelined_bytes = 0
+
+    def connection_lost(self) -> None:
+        """Release the parser."""
+        super().connection_lost()
+        self._reader.end()
--- a/lilacsill/mesh/proxy/client_listener.py
+++ b/lilacsill/mesh/proxy/client_listener.py
@@ -5,8 +5,10 @@
 import socket
 
 from lilacsill.address import Address
+from lilacsill.mesh.runtime.connection_limit import make_room
 from lilacsill.mesh.runtime.link import Listener
 from lilacsill.mesh.runtime.reactor import Reactor
+from lilacsill.mesh.runtime.resource_limits import ResourceLimits, default_limits
 
 from .client_connection import ClientConnection
 from .forwarder import Forwarder
@@ -17,15 +19,26 @@
 class ClientListener:
     """Accepts clients' connections; implements `client_connection.ConnectionOwner` for them."""
 
-    def __init__(self, reactor: Reactor, address: Address, forwarder: Forwarder) -> None:
-        """Start to listen at `address`. Raises OSError if that fails."""
+    def __init__(
+        self, reactor: Reactor, address: Address, forwarder: Forwarder, limits: ResourceLimits | None = None
+    ) -> None:
+        """Start to listen at `address`; the connections have the default limits, or `limits`.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
         self.reactor, self.forwarder = reactor, forwarder
+        self._limits = limits or default_limits()
+        self.memory = self._limits.memory
         self.is_draining = False
         self.connections: set[ClientConnection] = set()
-        self.listener = Listener(reactor, address, self._on_accepted)
+        self.listener = Listener(reactor, address, self._on_accepted, is_bounded=True)
         self._check_timeouts()
 
     def _on_accepted(self, sock: socket.socket) -> None:
+        if not make_room(self.connections, self._limits.clients):
+            sock.close()
+            return
         connection = ClientConnection(self)
         connection.attach(sock)
         self.connections.add(connection)
@@ -38,11 +51,14 @@
         self.reactor.after(TIMEOUT_CHECK_US, self._check_timeouts)
         now, limits = self.reactor.now(), self.forwarder.config.limits
         for connection in list(self.connections):
+            connection.check_progress()
             started_at = connection.head_started_at
             if connection.is_idle and now - connection.last_activity_at > limits.idle_timeout_us + TIMEOUT_CHECK_US:
                 connection.close()
             elif started_at is not None and now - started_at > limits.header_timeout_us + TIMEOUT_CHECK_US:
                 connection.time_out_head()
+            elif now - (connection.idle_since or now) > limits.idle_timeout_us + TIMEOUT_CHECK_US:
+                connection.evict()
 
     def start_draining(self) -> None:
         """Answer the requests in flight, and close each connection after its last response.
--- a/lilacsill/mesh/proxy/forwarded_request.py
+++ b/lilacsill/mesh/proxy/forwarded_request.py
@@ -106,6 +106,14 @@
             return len(self._body.data)
         return self._current.unsent
 
+    @property
+    def held_body_bytes(self) -> int:
+        """Bytes of the request body that are held: for further attempts, and because they are not accepted yet."""
+        if self.is_over:
+            return 0
+        held = len(self._body.data)
+        return held if self._body.is_awaiting_permits else held + self._current.unsent
+
     def resume_response(self) -> None:
         """Resume the response: the client has accepted the bytes sent so far."""
         self._stream.resume()
--- a/lilacsill/mesh/proxy/forwarder.py
+++ b/lilacsill/mesh/proxy/forwarder.py
@@ -24,6 +24,7 @@
 from .upstreams import Upstreams
 
 UNKNOWN_CONFIG_RETRY_AFTER = (b"Retry-After", b"0.2")  # in seconds; the configuration arrives soon after a start
+MEMORY_RETRY_AFTER = (b"Retry-After", b"0.2")  # in seconds
 
 
 class Forwarder:
@@ -88,6 +89,12 @@
         forwarded.start()
         return forwarded
 
+    def refuse_for_memory(self, response: ResponseWriter) -> None:
+        """Refuse a large request before it is forwarded, because the memory of this process is nearly spent."""
+        self.counters.refusals[RefusalReason.MEMORY] += 1
+        self.counters.responses[503] += 1
+        response.send_response(503, [MEMORY_RETRY_AFTER], b"out of memory for large requests\n")
+
     def request_ended(self, request: InFlightRequest) -> None:
         """Remove a request from the set of requests in flight."""
         self.in_flight.discard(request)
--- a/lilacsill/mesh/proxy/pending_response.py
+++ b/lilacsill/mesh/proxy/pending_response.py
@@ -62,6 +62,7 @@
         "_head",
         "_body",
         "request",
+        "request_bytes",
         "forwarded",
         "is_head_sent",
         "is_complete",
@@ -70,6 +71,7 @@
 
     def __init__(self, queue: ResponseQueue, request: Message) -> None:
         self._queue, self.request = queue, request
+        self.request_bytes = request.memory_bytes  # estimate, with the body received so far
         self.forwarded: ForwardedRequest | None = None  # None: not forwarded, the proxy answers itself
         self._head: ResponseHead | None = None  # not sent yet
         self._body = bytearray()  # not sent yet
--- a/lilacsill/mesh/proxy/process.py
+++ b/lilacsill/mesh/proxy/process.py
@@ -76,7 +76,7 @@
         self._offer_server = OfferServer(
             reactor, Address(settings.ip, settings.internal_ports[0]), self._gateway, self, limits
         )
-        self._clients = ClientListener(reactor, settings.listen["Outgoing"], self._forwarder)
+        self._clients = ClientListener(reactor, settings.listen["Outgoing"], self._forwarder, limits)
         heartbeats = HeartbeatApi(reactor, self._gateway, self._discovery.announce)
         self._heartbeat_server = ControlServer(
             reactor, settings.listen["ControlPort"], heartbeats.handle, limits=limits
--- a/lilacsill/mesh/proxy/reasons.py
+++ b/lilacsill/mesh/proxy/reasons.py
@@ -26,6 +26,7 @@
     OPERATION_UNKNOWN = "operation unknown"  # the operation may have run
     OPERATION_UNDECIDED = "operation not decided"  # neither the store nor the owner of the operation answered in time
     OPERATIONS_FULL = "operations full"
+    MEMORY = "memory"  # a large request, while the connections hold nearly all of their memory
 
 
 class FailureReason(StrEnum):
