--- a/lilacsill/mesh/proxy/client_connection.py
+++ b/lilacsill/mesh/proxy/client_connection.py
@@ -151,9 +151,9 @@
             return False
         if not self._responses:
             return True
-        return len(self._responses) < MAX_IN_FLIGHT and self._held_in_flight() < MAX_IN_FLIGHT_BYTES
+        return len(self._responses) < MAX_IN_FLIGHT and self._in_flight_memory() < MAX_IN_FLIGHT_BYTES
 
-    def _held_in_flight(self) -> int:
+    def _in_flight_memory(self) -> int:
         return self._in_flight_bytes + sum(response.unsent for response in self._responses)
 
     def _apply_limits(self) -> None:
@@ -267,7 +267,7 @@
             if self._is_closing and not self._responses:
                 self._finish()
                 break
-        if self._pipelined or self._account.held or self.unsent or response.unsent:
+        if self._pipelined or self._account.used or self.unsent or response.unsent:
             self._schedule_report()
         return self.unsent + response.unsent
 
@@ -304,22 +304,22 @@
         """Report what the connection holds, if it is much."""
         if self.closed or self.stream is None:
             return
-        held = self._held_bytes()
-        if held < MIN_COUNTED_BYTES:
-            held = 0
-        if held != self._account.held:
-            self._account.update(held, self.last_activity_at)
+        used = self._memory_bytes()
+        if used < MIN_COUNTED_BYTES:
+            used = 0
+        if used != self._account.used:
+            self._account.update(used, self.last_activity_at)
 
-    def _held_bytes(self) -> int:
+    def _memory_bytes(self) -> int:
         assert self.stream is not None
-        held = self._pipelined_bytes + self._held_in_flight() + self._reader.buffered_bytes
+        used = self._pipelined_bytes + self._in_flight_memory() + self._reader.buffered_bytes
         if self._upload is not None and self._upload.forwarded is not None:
-            held += self._upload.forwarded.held_body_bytes
+            used += self._upload.forwarded.buffered_body_bytes
         if self.unsent:
-            held += self.unsent + SOCKET_BUFFER_BYTES
+            used += self.unsent + SOCKET_BUFFER_BYTES
         if self.stream.paused:
-            held += SOCKET_BUFFER_BYTES
-        return held
+            used += SOCKET_BUFFER_BYTES
+        return used
 
     def evict(self) -> None:
         """Close the connection at once, and free what it holds."""
--- a/lilacsill/mesh/proxy/forwarded_request.py
+++ b/lilacsill/mesh/proxy/forwarded_request.py
@@ -107,12 +107,12 @@
         return self._current.unsent
 
     @property
-    def held_body_bytes(self) -> int:
-        """Bytes of the request body that are held: for further attempts, and because they are not accepted yet."""
+    def buffered_body_bytes(self) -> int:
+        """Bytes of the request body that are used: for further attempts, and because they are not accepted yet."""
         if self.is_over:
             return 0
-        held = len(self._body.data)
-        return held if self._body.is_awaiting_permits else held + self._current.unsent
+        used = len(self._body.data)
+        return used if self._body.is_awaiting_permits else used + self._current.unsent
 
     def resume_response(self) -> None:
         """Resume the response: the client has accepted the bytes sent so far."""
--- a/lilacsill/mesh/runtime/control.py
+++ b/lilacsill/mesh/runtime/control.py
@@ -185,11 +185,11 @@
         if self.closed or self.stream is None:
             return
         self._last_activity_at = now = self._server.reactor.now()
-        held = self.unsent + self._reader.buffered_bytes + sum(request.memory_bytes for request in self._queue)
-        if held < MIN_COUNTED_BYTES:
-            held = 0
-        if held != self._account.held:
-            self._account.update(held, now)
+        used = self.unsent + self._reader.buffered_bytes + sum(request.memory_bytes for request in self._queue)
+        if used < MIN_COUNTED_BYTES:
+            used = 0
+        if used != self._account.used:
+            self._account.update(used, now)
         if len(self._queue) > MAX_QUEUED_REQUESTS or self.unsent > MAX_UNSENT_BYTES:
             self.stream.pause()
         else:
--- a/lilacsill/mesh/runtime/incoming_link.py
+++ b/lilacsill/mesh/runtime/incoming_link.py
@@ -37,11 +37,11 @@
     def on_activity(self) -> None:
         """Report what the link holds."""
         self._last_activity_at = now = self._reactor.now()
-        held = self.link.held_bytes
-        if held < MIN_COUNTED_BYTES:
-            held = 0
-        if held or self._account.held:
-            self._account.update(held, now)
+        used = self.link.buffered_bytes
+        if used < MIN_COUNTED_BYTES:
+            used = 0
+        if used or self._account.used:
+            self._account.update(used, now)
 
     def on_closed(self) -> None:
         """Release the account."""
--- a/lilacsill/mesh/runtime/link.py
+++ b/lilacsill/mesh/runtime/link.py
@@ -48,7 +48,7 @@
     __slots__ = (
         "stream",
         "_frames",
-        "_is_held_back",
+        "_is_throttled",
         "_is_paused",
         "on_message",
         "on_closed",
@@ -74,7 +74,7 @@
         self.closed = False
         self.guard: LinkGuard | None = None
         self.has_received = False
-        self._is_held_back = False  # messages wait, and nothing is read
+        self._is_throttled = False  # messages wait, and nothing is read
         self._is_paused = False  # by the owner
         self.stream = Stream(sock, self)
 
@@ -89,7 +89,7 @@
         return not self.closed and not self.stream.closing
 
     @property
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Bytes of messages that are not complete or handled yet, and of those that are not sent."""
         return self._frames.buffered + self.stream.unsent
 
@@ -101,7 +101,7 @@
     def resume(self) -> None:
         """Go on reading after `pause`."""
         self._is_paused = False
-        if not self._is_held_back:
+        if not self._is_throttled:
             self.stream.resume()
 
     def close(self) -> None:
@@ -132,23 +132,23 @@
             self.close()
             return
         if self.guard is not None:
-            self._hold_back_or_go_on(self.guard, count)
+            self._throttle_or_go_on(self.guard, count)
 
     def _must_wait(self, count: int) -> bool:
         if self.guard is None:
             return False
         return count >= MAX_MESSAGES_PER_EVENT or self.stream.unsent > MAX_UNSENT_BYTES
 
-    def _hold_back_or_go_on(self, guard: LinkGuard, count: int) -> None:
+    def _throttle_or_go_on(self, guard: LinkGuard, count: int) -> None:
         """Stop reading while messages have to wait; they are handled once the peer has read, or with later events."""
         if not self.is_open:
             return
-        was_held_back, self._is_held_back = self._is_held_back, self._must_wait(count)
-        if self._is_held_back:
+        was_throttled, self._is_throttled = self._is_throttled, self._must_wait(count)
+        if self._is_throttled:
             self.stream.pause()
-        elif was_held_back and not self._is_paused:
+        elif was_throttled and not self._is_paused:
             self.stream.resume()
-        if self._is_held_back and self.stream.unsent <= MAX_UNSENT_BYTES:
+        if self._is_throttled and self.stream.unsent <= MAX_UNSENT_BYTES:
             running_loop().call_soon(self._handle_messages)
         guard.on_activity()
 
@@ -158,7 +158,7 @@
 
     def flushed(self) -> None:
         """Handle that the send buffer is empty."""
-        if self._is_held_back:
+        if self._is_throttled:
             self._handle_messages()
         if self.on_flushed is not None:
             self.on_flushed()
--- a/lilacsill/mesh/runtime/memory_budget.py
+++ b/lilacsill/mesh/runtime/memory_budget.py
@@ -22,21 +22,21 @@
 
     Attributes:
         limit: The budget in bytes.
-        held: Bytes that the open accounts hold.
+        used: Bytes that the open accounts hold.
         evictions: Number of connections that were closed because the budget was exceeded.
-        evicted_bytes: What they held.
+        evicted_bytes: What they used.
     """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
-        self.held = 0
+        self.used = 0
         self.evictions = self.evicted_bytes = 0
         self._accounts: set[MemoryAccount] = set()  # those that hold something
 
     @property
     def is_tight(self) -> bool:
         """Whether only small requests are accepted."""
-        return self.held > TIGHT_SHARE * self.limit
+        return self.used > TIGHT_SHARE * self.limit
 
     def open_account(self, evict: Callable[[], None]) -> MemoryAccount:
         """Return the account of a new connection.
@@ -47,24 +47,24 @@
         """
         return MemoryAccount(self, evict)
 
-    def record(self, account: MemoryAccount, held: int) -> None:
+    def record(self, account: MemoryAccount, used: int) -> None:
         """Record how many bytes an account holds from now on."""
-        self.held += held - account.held
-        account.held = held
-        if held:
+        self.used += used - account.used
+        account.used = used
+        if used:
             self._accounts.add(account)
         else:
             self._accounts.discard(account)
 
     def relieve(self, now: int) -> None:
         """Close connections until the others hold clearly less than the budget, if it is exceeded."""
-        if self.held <= self.limit:
+        if self.used <= self.limit:
             return
         for account in sorted(self._accounts, key=lambda account: account.weight(now), reverse=True):
-            if self.held <= RELIEF_SHARE * self.limit:
+            if self.used <= RELIEF_SHARE * self.limit:
                 return
             self.evictions += 1
-            self.evicted_bytes += account.held
+            self.evicted_bytes += account.used
             account.evict()
 
 
@@ -72,36 +72,36 @@
     """What one connection holds.
 
     Attributes:
-        held: The bytes that were reported last.
+        used: The bytes that were reported last.
     """
 
-    __slots__ = ("_budget", "_evict", "held", "_active_at", "_is_closed")
+    __slots__ = ("_budget", "_evict", "used", "_active_at", "_is_closed")
 
     def __init__(self, budget: MemoryBudget, evict: Callable[[], None]) -> None:
         self._budget = budget
         self._evict = evict
-        self.held = 0
+        self.used = 0
         self._active_at = 0
         self._is_closed = False
 
-    def update(self, held: int, now: int) -> None:
+    def update(self, used: int, now: int) -> None:
         """Report what the connection holds now, after its peer has sent or accepted bytes.
 
         If the budget is exceeded, this closes connections, maybe this one.
 
         Args:
-            held: Bytes.
+            used: Bytes.
             now: The current time in microseconds.
         """
         if self._is_closed:
             return
         self._active_at = now
-        self._budget.record(self, held)
+        self._budget.record(self, used)
         self._budget.relieve(now)
 
     def weight(self, now: int) -> int:
         """Return how much memory the connection blocks, and for how long its peer has done nothing."""
-        return self.held * max(MIN_IDLE_US, now - self._active_at)
+        return self.used * max(MIN_IDLE_US, now - self._active_at)
 
     def evict(self) -> None:
         """Close the account and the connection."""
--- a/lilacsill/mesh/runtime/metrics_server.py
+++ b/lilacsill/mesh/runtime/metrics_server.py
@@ -42,9 +42,9 @@
             reactor: Event loop of the process.
             address: Address to bind.
             load_encoder: Called with the first fetch, and again with a later fetch if it failed.
-            limits: What the connections may use; None: the defaults.
+            limits: What the connections may use, whose use is added to the metrics; None: the defaults, without that.
         """
-        self._reactor, self._load_encoder = reactor, load_encoder
+        self._reactor, self._load_encoder, self._limits = reactor, load_encoder, limits
         self._encode: Encode | None = None  # None: not loaded
         self._waiting: list[Respond] = []  # pending fetches that wait until the encoder is loaded
         try:
@@ -67,12 +67,21 @@
     def _load(self) -> None:
         """Load the encoder; runs in a separate thread."""
         try:
-            encode = self._load_encoder()
+            encode = self._with_memory(self._load_encoder())
         except Exception as error:  # an import may raise anything; the process continues without metrics
             self._reactor.call_from_thread(self._on_load_failed, error)
         else:
             self._reactor.call_from_thread(self._on_loaded, encode)
 
+    def _with_memory(self, encode: Encode) -> Encode:
+        """Return an encoder that adds the memory of the connections."""
+        if self._limits is None:
+            return encode
+        from .memory_metrics import encode_memory  # imported lazily, like the encoder
+
+        memory = self._limits.memory
+        return lambda: encode() + encode_memory(memory)
+
     def _on_loaded(self, encode: Encode) -> None:
         self._encode = encode
         for respond in self._pop_waiting():
--- a/tests/mesh/test_client_memory.py
+++ b/tests/mesh/test_client_memory.py
@@ -26,7 +26,7 @@
         s.until(is_answered, "all answers")
         assert client.answers[16].status == 200 and one.ran[-1].received == MEGABYTE // 2
         assert largest < 256 * 1024
-        assert s.clients.memory.held == 0
+        assert s.clients.memory.used == 0
 
 
 def test_where_the_budget_is_nearly_spent_large_requests_are_refused_and_small_ones_served() -> None:
@@ -46,10 +46,10 @@
         s.add("one")
         s.clients.memory.limit = 100_000
         holding = s.client(request("POST", "/writes/a", 1, b"b" * 60_000)[:-1])
-        s.until(lambda: s.clients.memory.held > 50_000, "the body has arrived")
+        s.until(lambda: s.clients.memory.used > 50_000, "the body has arrived")
         s.client(request("POST", "/writes/b", 2, b"b" * 60_000)[:-1])
         s.until(lambda: s.clients.memory.evictions == 1, "one is closed")
         other = s.client(request("GET", "/reads/c", 3))
         s.until(lambda: bool(other.answers), "the answer")
-        assert other.answers[0].status == 200 and s.clients.memory.held < 100_000
+        assert other.answers[0].status == 200 and s.clients.memory.used < 100_000
         assert holding.over or len(s.clients.connections) == 2
--- a/tests/mesh/test_control_server.py
+++ b/tests/mesh/test_control_server.py
@@ -62,7 +62,7 @@
     made = Service(reactor, response)
     yield made
     made.close()
-    assert made.memory.held == 0
+    assert made.memory.used == 0
 
 
 def received(caller: socket.socket) -> bytes:
@@ -128,5 +128,5 @@
             caller.sendall(b"x" * (MAX_BODY_BYTES - 1))
             for _ in range(10):
                 served.run()
-        assert served.memory.evictions > 0 and served.memory.held <= served.memory.limit
+        assert served.memory.evictions > 0 and served.memory.used <= served.memory.limit
         assert len(served.server.connections) < MAX_CALLERS
--- a/tests/mesh/test_loopback.py
+++ b/tests/mesh/test_loopback.py
@@ -37,6 +37,9 @@
     assert registry["lilacsill_updates_sent_total"] > 0 and registry["lilacsill_polls_waiting"] >= 0
     for ip in mesh.cores[1:]:
         check_store_metrics(ip)
+    for figures in (proxy, registry, fetch(mesh.cores[1], STORE_PORT)):
+        assert 0 <= figures["lilacsill_connection_bytes_used"] < figures["lilacsill_connection_bytes_limit"]
+        assert figures["lilacsill_connections_evicted_total"] == 0
 
 
 def check_store_metrics(ip: str) -> None:
--- a/tests/mesh/test_memory_budget.py
+++ b/tests/mesh/test_memory_budget.py
@@ -34,7 +34,7 @@
 def test_nobody_is_closed_up_to_the_limit() -> None:
     budget = MemoryBudget(LIMIT)
     made = holders(budget, 400, 600)
-    assert budget.held == LIMIT and budget.evictions == 0 and not any(holder.evicted for holder in made)
+    assert budget.used == LIMIT and budget.evictions == 0 and not any(holder.evicted for holder in made)
 
 
 def test_the_largest_are_closed_until_the_others_hold_clearly_less() -> None:
@@ -42,7 +42,7 @@
     small, large, largest = holders(budget, 100, 300, 500)
     Holder(budget).account.update(150, 0)
     assert [small.evicted, large.evicted, largest.evicted] == [0, 0, 1]
-    assert budget.held == 550 and budget.evictions == 1 and budget.evicted_bytes == 500
+    assert budget.used == 550 and budget.evictions == 1 and budget.evicted_bytes == 500
 
 
 def test_one_that_does_nothing_is_closed_before_a_larger_one_at_work() -> None:
@@ -56,7 +56,7 @@
 def test_one_that_alone_exceeds_the_limit_is_closed_itself() -> None:
     budget = MemoryBudget(LIMIT)
     (holder,) = holders(budget, LIMIT + 1)
-    assert holder.evicted == 1 and budget.held == 0
+    assert holder.evicted == 1 and budget.used == 0
 
 
 def test_a_closed_account_holds_nothing_and_reports_no_more() -> None:
@@ -65,7 +65,7 @@
     holder.account.close()
     holder.account.close()
     holder.account.update(LIMIT + 1, 0)
-    assert budget.held == 0 and not holder.evicted
+    assert budget.used == 0 and not holder.evicted
 
 
 def test_the_budget_is_tight_before_it_is_spent() -> None:
@@ -88,42 +88,42 @@
     def __init__(self) -> None:
         super().__init__()
         self.budget, self.now = MemoryBudget(LIMIT), 0
-        self.held: dict[int, int] = {}
+        self.used: dict[int, int] = {}
         self.accounts: dict[int, MemoryAccount] = {}
 
     @rule()
     def open(self) -> None:
         number = len(self.accounts)
         self.accounts[number] = self.budget.open_account(lambda: self.forget(number))
-        self.held[number] = 0
+        self.used[number] = 0
 
     def forget(self, number: int) -> None:
-        assert self.held.pop(number) > 0, "closed twice, or without need"
+        assert self.used.pop(number) > 0, "closed twice, or without need"
 
     @rule(pick=st.integers(0), size=st.integers(0, 2 * LIMIT), wait_us=st.integers(0, SECOND_US))
     def update(self, pick: int, size: int, wait_us: int) -> None:
-        if not self.held:
+        if not self.used:
             return
         self.now += wait_us
-        number = sorted(self.held)[pick % len(self.held)]
-        self.held[number] = size
+        number = sorted(self.used)[pick % len(self.used)]
+        self.used[number] = size
         self.accounts[number].update(size, self.now)
 
     @rule(pick=st.integers(0))
     def close(self, pick: int) -> None:
-        if self.held:
-            number = sorted(self.held)[pick % len(self.held)]
-            del self.held[number]
+        if self.used:
+            number = sorted(self.used)[pick % len(self.used)]
+            del self.used[number]
             self.accounts[number].close()
 
     @invariant()
     def it_holds_what_the_open_accounts_hold_and_no_more_than_the_limit(self) -> None:
-        assert self.budget.held == sum(self.held.values()) <= LIMIT
+        assert self.budget.used == sum(self.used.values()) <= LIMIT
 
     def teardown(self) -> None:
         for account in self.accounts.values():
             account.close()
-        assert self.budget.held == 0
+        assert self.budget.used == 0
 
 
 TestAccounts = Accounts.TestCase
