A body goes on once the responses before it are read

A client that leaves responses unread for a moment and sends a body behind them got 504: the connection was paused for the unread responses, and while a body is forwarded only that body's own pause was ended. Now whatever paused the connection, it is read on once neither holds. The new test failed before (200, 504).

--- a/lilacsill/mesh/proxy/client_connection.py
+++ b/lilacsill/mesh/proxy/client_connection.py
@@ -131,9 +131,14 @@
             return
         if self._has_too_much():
             self.stream.pause()
-        elif self._upload is None:
+        elif not self._is_upload_slow():
             self.stream.resume()
 
+    def _is_upload_slow(self) -> bool:
+        """Return whether the body that is being forwarded is not read on until more of it is accepted."""
+        forwarded = self._upload.forwarded if self._upload is not None else None
+        return forwarded is not None and forwarded.unsent > MAX_BUFFERED_BYTES
+
     def _has_too_much(self) -> bool:
         """Return whether requests wait that must be forwarded, or responses that must be read, before further input."""
         if self._is_closing:
@@ -308,7 +313,7 @@
         if used < MIN_COUNTED_BYTES:
             used = 0
         if used != self._account.used:
-            self._account.update(used, self.last_activity_at)
+            self._account.update(used, self._owner.reactor.now())
 
     def _memory_bytes(self) -> int:
         assert self.stream is not None
--- a/tests/mesh/test_client_memory.py
+++ b/tests/mesh/test_client_memory.py
@@ -29,6 +29,23 @@
         assert s.clients.memory.used == 0
 
 
+def test_a_body_goes_on_once_the_responses_before_it_are_read() -> None:
+    """Guards against an upload that stays paused after its client has left responses unread for a while."""
+    with stage() as s:
+        one = s.add("one")
+        one.script = ["answers at great length"]
+        ahead = request("GET", "/reads/1", 1, left_ms=4000)
+        client = s.client(ahead + request("POST", "/writes/a", 2, b"b" * MEGABYTE, left_ms=4000))
+        assert client.stream is not None
+        client.stream.pause()
+        s.until(lambda: any(connection.unsent for connection in s.clients.connections), "the client is slow")
+        s.settle()
+        client.stream.resume()
+        s.until(lambda: len(client.answers) == 2, "both answers")
+        assert [answered.status for answered in client.answers] == [200, 200]
+        assert one.ran[-1].received == MEGABYTE
+
+
 def test_where_the_budget_is_nearly_spent_large_requests_are_refused_and_small_ones_served() -> None:
     with stage() as s:
         one = s.add("one")
