--- a/lilacsill/mesh/runtime/incoming_link.py
+++ b/lilacsill/mesh/runtime/incoming_link.py
@@ -8,7 +8,7 @@
 
 MIN_COUNTED_BYTES = 16 * 1024  # links that hold less are not counted
 # A link that has carried messages stays open so long without any; its peer may be about to send the next one.
-MIN_IDLE_US = 60_000_000
+MIN_IDLE_US = 10_000_000
 
 
 class IncomingLink:
--- a/lilacsill/mesh/runtime/resource_limits.py
+++ b/lilacsill/mesh/runtime/resource_limits.py
@@ -10,8 +10,8 @@
 RESERVED_DESCRIPTORS = 200  # the platform keeps them for files outside the data folder
 MIN_SOCKETS = 64
 # Shares of the sockets. The rest is for connections that the process opens itself.
-CLIENT_SHARE = 0.5  # of a proxy
-PROXY_LINK_SHARE = 0.25
+CLIENT_SHARE = 0.375  # of a proxy
+PROXY_LINK_SHARE = 0.375
 CORE_LINK_SHARE = 0.75  # of a registry or a store, which have no clients
 CONTROL_SHARE = 0.0625  # each control, readiness and metrics listener
 DECODED_CALL_FACTOR = 32  # a call of many small values takes so many times its size while it is checked
