--- a/review/6/play_6.py
+++ b/review/6/play_6.py
@@ -1,69 +1,121 @@
-"""Clients that pause while they read long answers, at a proxy that is stopped in order. See claim.txt."""
+"""A change of configuration sets a high `Rank` while the backends are busy. See claim.txt."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
-import socket
+import time
 from pathlib import Path
 
-from mesh2 import OUTGOING, Deployment, Request, first_order, head, play, route
+from mesh2 import (
+    CONFIG_S,
+    HOST,
+    OUTGOING,
+    CannotRun,
+    Deployment,
+    Request,
+    first_order,
+    head,
+    order,
+    play,
+    read_body,
+    read_head,
+    route,
+)
 
 HERE = Path(__file__).resolve().parent
-CLIENTS = 6
-ANSWER_BYTES = 8 << 20
-DEADLINE_MS = 5500
-PAUSE_S = 2.2  # before the rest of the answer is read
+CONNECTIONS = 24  # at each of two machines
+PIPELINED = 3  # reads sent ahead on each connection
+WORK_S = 0.16  # the mean of shelf-lookup
+BEFORE_S, AFTER_S = 4.0, 2.9  # the change is acknowledged within milliseconds: all that follows is in its window
+WINDOW_S = CONFIG_S + 1  # after the acknowledgement of the change
+RANK = 10_000
+MAX_CUT = 3  # "more than three times"
 
 
-async def client(d: Deployment, front: str, name: str, pause: float) -> bool:
-    """Send one request and read its answer; return whether the answer was complete."""
-    loop = asyncio.get_running_loop()
-    with socket.socket() as sock:
-        sock.setblocking(False)
-        await loop.sock_connect(sock, (front, OUTGOING))
-        await loop.sock_sendall(sock, head("GET", "/a/x", name, DEADLINE_MS))
-        data = await loop.sock_recv(sock, 65536)
-        d.record(f"client {name} has {len(data)} bytes and reads on after {pause} s")
-        await asyncio.sleep(pause)
-        count, problem = len(data), "the connection was closed"
-        fields, _, rest = data.partition(b"\r\n\r\n")
-        due = len(data) - len(rest) + ANSWER_BYTES
+class Counts:
+    """What became of the requests of one machine, before and after the change was sent."""
+
+    def __init__(self) -> None:
+        self.changed_at = float("inf")
+        self.sent = [0, 0]
+        self.answered: list[dict[int, int]] = [{}, {}]
+        self.cut: list[tuple[float, str]] = []  # time and id
+
+
+async def client(d: Deployment, ip: str, name: str, end: float, counts: Counts) -> None:
+    """Send reads on a kept connection, a few ahead; after a close open the next one."""
+    number = 0
+    while time.monotonic() < end:
+        reader, writer = await asyncio.open_connection(ip, OUTGOING)
         try:
-            while count < due:
-                more = await loop.sock_recv(sock, 1 << 18)
-                if not more:
+            while time.monotonic() < end:
+                names = [f"{name}-{number + i}" for i in range(PIPELINED)]
+                number += PIPELINED
+                phase = int(time.monotonic() >= counts.changed_at)
+                counts.sent[phase] += PIPELINED
+                due, pause = list(names), 0.0
+                writer.write(b"".join(head("GET", "/b/x", each, 2000) for each in names))
+                for each in names:
+                    first, fields = await read_head(reader)
+                    await read_body(reader, fields)
+                    status = int(first.split(" ")[1])
+                    counts.answered[phase][status] = counts.answered[phase].get(status, 0) + 1
+                    due.remove(each)
+                    pause = max(pause, float(fields.get("retry-after", "0")))
+                await asyncio.sleep(pause)
+                if fields.get("connection", "").lower() == "close":
                     break
-                count += len(more)
-        except OSError as error:
-            problem = str(error)
-    ending = problem if count < due else "complete"
-    d.record(f"client {name} {fields.splitlines()[0].decode()}: {count} of {due} bytes; {ending}")
-    return count >= due
+        except (asyncio.IncompleteReadError, OSError) as error:
+            counts.cut += [(time.monotonic(), each) for each in due]
+            d.record(f"client at {ip}: {type(error).__name__}, no answer to {' '.join(due)}")
+        finally:
+            writer.close()
 
 
 async def main(trouble: bool) -> bool:
-    """Play the case, and return whether every request got a complete answer."""
-    d = Deployment(HERE, 3, {"stock-desk": 2, "fitment-catalog": 2})
+    """Play the case, and return whether each request that was passed on has got an answer."""
+    d = Deployment(HERE, 3, {"stock-desk": 2})
 
     async def work(_request: Request) -> bytes:
-        await asyncio.sleep(0.1)
-        return bytes(ANSWER_BYTES)
+        await asyncio.sleep(WORK_S)
+        return b"x" * 5000
 
     try:
-        services = ["stock-desk", "fitment-catalog"]
-        await d.start(first_order(1, services, [route("r-a", 1, "/a/", "stock-desk", "read_only")]))
+        rule = route("r-b", 1, "/b/", "stock-desk", "read_only", TimeoutMs=2000)
+        await d.start(first_order(1, ["stock-desk"], [rule]))
         for backend in d.backends.values():
             backend.work = work
-        front = next(ip for ip, service in d.programs.service.items() if service == "fitment-catalog")
-        pause = PAUSE_S if trouble else 0.0
-        clients = [asyncio.create_task(client(d, front, f"c{i}", pause)) for i in range(CLIENTS)]
-        await asyncio.sleep(0.05)
-        d.programs.signal("proxy", front, signal.SIGTERM)
-        complete = await asyncio.gather(*clients)
-        cut = complete.count(False)
-        print(f"LOST {'broken' if cut else 'held'}: {cut} of {CLIENTS} answers ended early")
-        return not cut
+        counts, end = Counts(), time.monotonic() + BEFORE_S + AFTER_S
+        machines = d.programs.sidecars
+        clients = [
+            asyncio.create_task(client(d, ip, f"{ip}-{i}", end, counts)) for ip in machines for i in range(CONNECTIONS)
+        ]
+        await asyncio.sleep(BEFORE_S)
+        counts.changed_at = time.monotonic()
+        if trouble:
+            changed = {**rule, "ConfigVersion": "r2", "Rank": RANK}
+            body = {"ReplaceItems": {"Listeners": [{"Host": HOST, "Policy": [changed]}]}, "RemoveItems": {}}
+            if await order(d.record, d.programs, body) != 200:
+                raise CannotRun("the change was not acknowledged")
+        counted_until = time.monotonic() + WINDOW_S
+        await asyncio.gather(*clients)
+        await asyncio.sleep(0.5)
+        ran = {attempt_id for backend in d.backends.values() for _, attempt_id in backend.ran}
+        passed_on = [(at, each) for at, each in counts.cut if each in ran]
+        cut = [each for at, each in passed_on if counts.changed_at <= at <= counted_until]
+        others = len(passed_on) - len(cut)
+        d.record(f"sent {counts.sent}, answered {counts.answered}; cut in the window: {cut}; at other times: {others}")
+        for ip in machines:
+            for line in d.programs.log_text("proxy", ip).splitlines():
+                if "Error" in line:
+                    d.record(f"log of the proxy at {ip}: {line}")
+        held = len(cut) <= MAX_CUT
+        print(
+            f"LOST {'held' if held else 'broken'}: {len(cut)} requests that a backend had run got no answer until"
+            f" {WINDOW_S:g} s after the change was acknowledged, {others} at other times;"
+            f" answers before and after the change by status: {counts.answered}"
+        )
+        return held
     finally:
         await d.close()
 
