--- a/review/6/play_6.py
+++ b/review/6/play_6.py
@@ -54,12 +54,14 @@
                 phase = int(time.monotonic() >= counts.changed_at)
                 counts.sent[phase] += PIPELINED
                 due, pause = list(names), 0.0
+                d.record(f"sent at {ip}: {' '.join(names)}")
                 writer.write(b"".join(head("GET", "/b/x", each, 2000) for each in names))
                 for each in names:
                     first, fields = await read_head(reader)
                     await read_body(reader, fields)
                     status = int(first.split(" ")[1])
                     counts.answered[phase][status] = counts.answered[phase].get(status, 0) + 1
+                    d.record(f"answered {each}: {status}")
                     due.remove(each)
                     pause = max(pause, float(fields.get("retry-after", "0")))
                 await asyncio.sleep(pause)
