A chain that is too short for the tolerated losses commits nothing, and keeps its votes

Cause: a chain of one acknowledged where no machine was alive that could join it, and a view gave away the votes of machines that are down so that the living were a majority.

Change: a chain shorter than the tolerated losses plus one, or than a majority, takes no change, answers no read and tells followers nothing. A view keeps as many votes as a majority needs to survive the tolerated losses. The types of reconfiguration have a module of their own.

A claim waits for a chain that is long enough by the replica, not by a callback.

--- a/lilacsill/mesh/simulation/replication_contest.py
+++ b/lilacsill/mesh/simulation/replication_contest.py
@@ -12,9 +12,10 @@
 
 from lilacsill.mesh.runtime.messages import Item, Member, Replicate, SummaryRequest, View
 from lilacsill.mesh.store.chain import Chain
+from lilacsill.mesh.store.cluster_state import ClusterState, MachineState
 from lilacsill.mesh.store.facts import StoredReplica
 from lilacsill.mesh.store.paxos import AcceptorState
-from lilacsill.mesh.store.reconfiguration import ClusterState, MachineState, next_view
+from lilacsill.mesh.store.reconfiguration import next_view
 from lilacsill.mesh.store.replica import Replica
 
 from .network import MS, SECOND, Machine, Net
@@ -151,7 +152,7 @@
             MachineState(member, member not in suspects, self._is_complete(self.copies[member]))
             for member in (*self._view.members, *others)
         ]
-        view = next_view(ClusterState(self._view, machines, MIN_COPIES, CHAIN_LENGTH, MACHINES))
+        view = next_view(ClusterState(self._view, machines, MIN_COPIES, CHAIN_LENGTH, MACHINES, CHAIN_LENGTH))
         if view is None or len(view.chain) < MIN_COPIES:
             return
         self._view, self.views = view, self.views + 1
--- a/lilacsill/mesh/store/chain.py
+++ b/lilacsill/mesh/store/chain.py
@@ -81,10 +81,10 @@
 
         The head must have every acknowledged change. Therefore its copy must be complete, and its successor, if any,
         must have shown in this view that it does not have a complete copy that is ahead of the head's.
-        All pending saves, even those from an earlier view, must be on disk first.
+        All pending saves, even those from an earlier view, must be on disk first. The chain must be long enough.
         """
         replica = self._replica
-        if not replica.is_head or not replica.complete or self.pending_saves:
+        if not replica.is_head or not replica.complete or self.pending_saves or replica.has_too_few_copies:
             return False
         return replica.is_tail or self.successor.is_confirmed
 
--- a/lilacsill/mesh/store/cluster_monitor.py
+++ b/lilacsill/mesh/store/cluster_monitor.py
@@ -6,9 +6,9 @@
 
 from lilacsill.mesh.runtime.messages import Member
 
+from .cluster_state import ClusterState, MachineState
 from .disk_health import requested_departure
 from .failure_detector import SUSPECT_AFTER_US, FailureDetector
-from .reconfiguration import ClusterState, MachineState
 from .replica import Replica
 
 
@@ -18,6 +18,11 @@
     machines: int
     failure_domains: int  # zones or regions
 
+    @property
+    def min_copies(self) -> int:
+        """The number of disks of which one is left when as many disks as there may be failed machines are lost."""
+        return self.machines + 1
+
     @property
     def target_size(self) -> int:
         """The number of members that keeps a majority when `machines` of them fail."""
@@ -38,10 +43,12 @@
         if self._tolerance.failure_domains:
             # All live machines become members, so that the machines of any one failure domain are a minority.
             target_size = sum(machine.alive for machine in machines)
+            min_voters = len(view.members)
         else:
-            target_size = self._tolerance.target_size
+            target_size = min_voters = self._tolerance.target_size
         known_machines = len(self._detector.peers())
-        return ClusterState(view, machines, self._tolerance.machines + 1, target_size, known_machines)
+        min_copies = self._tolerance.min_copies
+        return ClusterState(view, machines, min_copies, target_size, known_machines, min_voters)
 
     def reachable_outside_chain(self) -> list[Member]:
         """Return the machines outside the chain that replied recently."""
--- a/lilacsill/mesh/store/followers.py
+++ b/lilacsill/mesh/store/followers.py
@@ -54,7 +54,7 @@
     def handle_follow(self, request: Follow, reply: Replier) -> None:
         """Answer with the changes that the follower lacks, or wait for some; forward the request unless at the tail.
 
-        A tail that is not synced or holds no lease answers without an update.
+        A tail that is not synced, holds no lease, or is in a chain that is too short answers without an update.
         """
         if not self._replica.is_tail:
             self._forward(request, reply)
@@ -77,7 +77,9 @@
             self._answer(poll)
 
     def _may_answer(self) -> bool:
-        return self._replica.is_tail and self._chain.synced and self._membership.holds_lease()
+        replica = self._replica
+        is_committed = self._chain.synced and not replica.has_too_few_copies
+        return replica.is_tail and is_committed and self._membership.holds_lease()
 
     def _answer(self, poll: Poll) -> None:
         if not self._may_answer():
--- a/lilacsill/mesh/store/frontend.py
+++ b/lilacsill/mesh/store/frontend.py
@@ -188,7 +188,7 @@
         if not replica.is_tail:
             self._forwarding.forward(request, self._tail, self.handle_read, reply)
             return
-        if not self._chain.synced:
+        if not self._chain.synced or replica.has_too_few_copies:
             reply(OUTCOME_UNKNOWN)
             return
         body = replica.state.to_json()
--- a/lilacsill/mesh/store/learner_scheduler.py
+++ b/lilacsill/mesh/store/learner_scheduler.py
@@ -8,8 +8,9 @@
 
 from .chain import Chain
 from .cluster_monitor import ClusterMonitor, FaultTolerance
+from .cluster_state import MachineState
 from .failure_detector import FailureDetector
-from .reconfiguration import MachineState, learners_to_sync
+from .reconfiguration import learners_to_sync
 from .replica import Replica
 
 LEARNER_SLICE_US = 2_000_000  # after this time the tail continues with the next learner
--- a/lilacsill/mesh/store/membership.py
+++ b/lilacsill/mesh/store/membership.py
@@ -19,7 +19,7 @@
 from .heartbeats import Heartbeats
 from .learner_scheduler import LearnerScheduler
 from .lease_manager import LeaseManager
-from .reconfiguration import departure_blocker, has_too_few_copies
+from .reconfiguration import departure_blocker
 from .replica import Replica
 from .view_proposer import ViewProposer
 
@@ -103,10 +103,6 @@
         """Return whether this machine is the only member of the chain and there is no learner that could replace it."""
         return self._replica.view.chain == (self._replica.me,) and not self._monitor.state().learners
 
-    def has_too_few_copies(self) -> bool:
-        """Return whether changes are on too few disks until a learner joins the chain."""
-        return has_too_few_copies(self._monitor.state())
-
     def is_dispensable(self) -> bool:
         """Return whether this machine is outside the chain and all members of the chain have adopted that view."""
         replica = self._replica
--- a/lilacsill/mesh/store/node.py
+++ b/lilacsill/mesh/store/node.py
@@ -84,7 +84,7 @@
         self.lease_manager = lease_manager = LeaseManager(replica, self._on_leases_released)
         tolerance = FaultTolerance(settings.max_lost_machines, settings.max_lost_zones)
         self.membership = membership = Membership(replica, chain, lease_manager, settings.seeds, tolerance)
-        commit_check = CommitCheck(replica, membership.has_too_few_copies)
+        commit_check = CommitCheck(replica)
         self.frontend = frontend = Frontend(replica, chain, commit_check)
         self.operation_claims = claims = OperationClaims(replica, chain, commit_check, settings.timing.key_window_us)
         self.followers = followers = Followers(replica, chain, membership)
@@ -135,13 +135,15 @@
     With an empty disk this is a new machine that has no view yet, except that at the first start of the whole system
     the seeds form the first view.
     """
+    min_copies = FaultTolerance(settings.max_lost_machines, settings.max_lost_zones).min_copies
     stored = facts.read(disk.facts, settings.address)
     if stored is not None:
-        return Replica(environment, stored, disk.items)
+        return Replica(environment, stored, disk.items, min_copies)
     is_initial_member = settings.fresh_start and settings.address in settings.seeds
     me = Member(settings.address, FIRST_INCARNATION if is_initial_member else settings.new_incarnation)
     view = View(0, initial_members(settings.seeds)) if is_initial_member else NO_VIEW
-    replica = Replica(environment, facts.StoredReplica(me, view, is_initial_member, 0, 0, AcceptorState()), ())
+    new = facts.StoredReplica(me, view, is_initial_member, 0, 0, AcceptorState())
+    replica = Replica(environment, new, (), min_copies)
     identity = {**replica.view_facts(), **facts.incarnation(me), **facts.sequence(0)}
     environment.save(Save(facts=identity), ignore_completion)
     return replica
--- a/lilacsill/mesh/store/reconfiguration.py
+++ b/lilacsill/mesh/store/reconfiguration.py
@@ -13,8 +13,12 @@
 A member that departs in a planned way may return shortly afterwards, because a restart begins like a removal. It also
 keeps its vote if the size of the majority is the same with and without it: the majority of two voters is two, as is
 that of three, but one of three may lose its disk while another one restarts. If so many other members are down that the
-remaining ones would not be a majority, members that are down lose their votes instead: a chain of one decides alone,
-because nothing can be decided without its only copy.
+remaining ones would not be a majority, members that are down lose their votes instead, but never so many that the loss
+of the tolerated number of disks could leave no majority (`ClusterState.min_voters`). With fewer machines alive than
+that requires, nothing is decided until others are back.
+
+No change is committed in a view whose chain is too short for the tolerated losses. Such a view only serves to bring
+learners up to date, which then join the chain (`cluster_state.required_copies`).
 
 Why a view change is safe: view n + 1 is one Paxos decree among the members of view n, so there is only one view n + 1,
 and a majority of view n has accepted it before it is in force. A member that has accepted it no longer confirms view n,
@@ -33,74 +37,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-
-import msgspec
-
 from lilacsill.mesh.runtime.messages import Departure, Member, View
 
-
-class MachineState(msgspec.Struct, frozen=True):
-    """The known state of one machine with its current disk.
-
-    Attributes:
-        member: The machine.
-        alive: Whether it is not suspected.
-        complete: For a machine in the chain, whether it has every acknowledged change; for any other machine, whether
-            it is synced in this view. None: not reported in this view.
-        departure: Whether the machine requests its removal from the chain, and why.
-        disk_lost: Whether the machine has returned with another disk.
-    """
-
-    member: Member
-    alive: bool
-    complete: bool | None
-    departure: Departure = Departure.NONE
-    disk_lost: bool = False
-
-
-class ClusterState(msgspec.Struct, frozen=True):
-    """The state of all machines as known to one member.
-
-    Attributes:
-        view: The current view.
-        machines: The members in their order, then all other machines.
-        min_copies: The number of complete copies that must remain: one more than may be lost at the same time.
-        target_size: The desired number of members.
-        known_machines: The number of known machines, including those that are down.
-    """
-
-    view: View
-    machines: Sequence[MachineState]
-    min_copies: int
-    target_size: int
-    known_machines: int
-
-    @property
-    def voters(self) -> list[MachineState]:
-        """The members, including the suspended ones."""
-        return list(self.machines[: len(self.view.members)])
-
-    @property
-    def live_chain(self) -> list[MachineState]:
-        """The machines in the chain that are alive, in the order of the chain."""
-        chain = self.view.chain
-        return [machine for machine in self.machines if machine.alive and machine.member in chain]
-
-    @property
-    def learners(self) -> list[MachineState]:
-        """The machines that may join the chain, suspended ones first."""
-        chain = self.view.chain
-        return [
-            machine
-            for machine in self.machines
-            if machine.member not in chain and machine.alive and not machine.departure
-        ]
-
-    @property
-    def majority_alive(self) -> bool:
-        """Whether enough voters are alive to choose a view."""
-        return sum(machine.alive for machine in self.voters) >= self.view.majority
+from .cluster_state import ClusterState, MachineState
 
 
 def next_view(cluster: ClusterState) -> View | None:
@@ -129,16 +68,6 @@
     return cluster.learners[: _free_slots(cluster, cluster.live_chain) + spares]
 
 
-def has_too_few_copies(cluster: ClusterState) -> bool:
-    """Return whether the chain is too short for the tolerated losses while a live machine could join it.
-
-    A change that is acknowledged in this state could be lost although no more disks are lost than the store tolerates:
-    the next disk to fail may be the only one that has it. If no machine can join, the existing copies must suffice.
-    """
-    wanted = max(cluster.min_copies, cluster.view.majority)
-    return len(cluster.view.chain) < wanted and bool(cluster.learners)
-
-
 def departure_blocker(cluster: ClusterState, member: Member) -> str:
     """Return, for operators, what a departing member is still waiting for."""
     if member not in cluster.view.chain:
@@ -166,11 +95,13 @@
     # votes.
     max_down = max(0, len(chain) + len(alive) - 1)
     suspended = [*alive, *down[:max_down]][:free_votes]
-    voters = len(chain) + len(suspended)
-    if voters % 2 == 0 and len(suspended) < free_votes:
+    terminating = [machine for machine in candidates if _is_terminating(machine)]
+    if (len(chain) + len(suspended)) % 2 == 0 and len(suspended) < free_votes:
         # With an even number of voters, one more voter does not raise the majority.
-        suspended += [machine for machine in candidates if _is_terminating(machine)][:1]
-    return suspended
+        suspended += terminating[:1]
+    missing_votes = min(cluster.min_voters - len(chain), free_votes) - len(suspended)
+    others = [machine for machine in (*down, *terminating) if machine not in suspended]
+    return suspended + others[: max(0, missing_votes)]
 
 
 def _is_terminating(machine: MachineState) -> bool:
--- a/lilacsill/mesh/store/replica.py
+++ b/lilacsill/mesh/store/replica.py
@@ -12,6 +12,7 @@
 from lilacsill.mesh.runtime.messages import Departure, Item, Member, Message, View
 
 from . import facts
+from .cluster_state import required_copies
 from .environment import ReplicaEnvironment, Save, ignore_completion
 from .paxos import Acceptor
 from .state import ConfigState
@@ -35,7 +36,21 @@
         view_listeners: Called in order after each adoption of a view.
     """
 
-    def __init__(self, environment: ReplicaEnvironment, stored: facts.StoredReplica, items: Iterable[Item]) -> None:
+    def __init__(
+        self,
+        environment: ReplicaEnvironment,
+        stored: facts.StoredReplica,
+        items: Iterable[Item],
+        min_copies: int = 1,
+    ) -> None:
+        """Restore a replica from its disk.
+
+        Args:
+            environment: The clock, timers, peers and disk.
+            stored: The facts on the disk.
+            items: The items on the disk.
+            min_copies: The number of machines that must have a change before it is acknowledged.
+        """
         self.environment, self.me, self.view = environment, stored.member, stored.view
         self.complete = stored.complete
         self.in_sync = False
@@ -45,6 +60,7 @@
         self.departure = Departure.NONE
         self.learner: Member | None = None
         self.view_listeners: list[Callable[[], None]] = []
+        self._min_copies = min_copies
 
     # Role in the view
 
@@ -87,6 +103,11 @@
         """Whether this copy is complete and, unless it is the head, was brought up to date in this view."""
         return self.complete and (self.is_head or self.in_sync)
 
+    @property
+    def has_too_few_copies(self) -> bool:
+        """Whether the chain of the view is too short for the tolerated losses, so that nothing is committed in it."""
+        return len(self.view.chain) < required_copies(self.view, self._min_copies)
+
     @property
     def view_pending(self) -> bool:
         """Whether this machine has accepted the next view, which may already be in force."""
