A complete copy outside the chain rebuilds it when nothing was committed since

Cause: a head had to come from the chain of the view before, and a machine outside the chain forgot that its copy was complete as it learned of the view without it. If all disks of a chain were lost in which nothing had been committed, no view could follow.

Change: each machine keeps on disk in which view it was complete last, and each view names the earlier ones in which something may have been committed. If no machine of the chain is complete, a machine that was complete in the latest such view may lead (recovery.py). Nothing was committed in a view whose chain was too short, or in which one of its machines was never complete. A machine commits in a view only once the view is on its disk. `store status`, metrics and a log line show it.

Why it works: a change is committed only on the disks of the whole chain, complete in that view, so a copy that was complete in the last view that may have committed anything has all of it. The view is chosen by a majority as all are.

--- a/lilacsill/mesh/runtime/messages/consensus.py
+++ b/lilacsill/mesh/runtime/messages/consensus.py
@@ -33,6 +33,9 @@
     peers: list[str]
     complete: bool
     lease_us: int  # time for which the sender does not accept a later view; 0: no lease
+    # Number of the latest view in which the sender was a complete member of the chain; -1: none, None: not known.
+    complete_view: int | None = None
+    intact: bool = True  # the sender's copy is not partly overwritten by a repair
 
 
 class Prepare(Message):
--- a/lilacsill/mesh/runtime/records.py
+++ b/lilacsill/mesh/runtime/records.py
@@ -96,15 +96,26 @@
     proposer: str  # address of the proposing member
 
 
+class PastView(msgspec.Struct, array_like=True, gc=False, frozen=True):
+    """An earlier view, and the chain in which changes may have been committed in it."""
+
+    number: int
+    chain: tuple[Member, ...]
+
+
 class View(msgspec.Struct, array_like=True, gc=False, frozen=True):
     """The voting members and the chain, head first. A majority of the members of view n - 1 chooses view n.
 
     The last `suspended` members can vote but are not part of the chain: they are unresponsive or being synced.
+
+    `history` has the earlier views in which changes may have been committed, newest first, as far as their chains may
+    still be needed. None: left out of a message to a machine that has adopted this view.
     """
 
     number: int
     members: tuple[Member, ...]
     suspended: int = 0
+    history: tuple[PastView, ...] | None = ()
 
     @property
     def chain(self) -> tuple[Member, ...]:
@@ -116,6 +127,11 @@
         """The number of members in a quorum."""
         return len(self.members) // 2 + 1
 
+    @property
+    def without_history(self) -> View:
+        """The same view with its history left out."""
+        return View(self.number, self.members, self.suspended, None)
+
     def __str__(self) -> str:
         chain = " ".join(member.address for member in self.chain)
         suspended = " ".join(member.address for member in self.members[len(self.chain) :])
--- a/lilacsill/mesh/simulation/fault_plans.py
+++ b/lilacsill/mesh/simulation/fault_plans.py
@@ -76,6 +76,10 @@
     "wiped timed",
     "wiped oldest timed",
 )
+OVERLAP_CORES = ((3, 1, 0), (3, 1, 0), (5, 2, 0))
+OVERLAP_KINDS = (*["power_beyond"] * 3, *["roll_term_beyond"] * 2, "cut_beyond")
+OVERLAP_FAULTS_RANGE = (2, 4)  # besides the lost disks
+OVERLAP_GAP_MS, OVERLAP_REQUEST_EVERY_MS = 2_500, 200
 MEETINGS = ("", "", " meet", " race", " meet race")
 REQUESTS = (
     *["shared"] * 8,
@@ -100,6 +104,29 @@
     return Plan(seed, cores, lost, zones, rng.choice((4, 4, 6)), closing, faults, requests)
 
 
+def overlap_plan_of(seed: int) -> Plan:
+    """The day of that seed on which losses of power, restarts in order and cuts overlap beyond what may be lost.
+
+    As many disks are lost among them as may be, one at least.
+    """
+    rng = Random(seed)
+    cores, lost, zones = rng.choice(OVERLAP_CORES)
+    kinds = [rng.choice(OVERLAP_KINDS) for _ in range(rng.randint(*OVERLAP_FAULTS_RANGE))]
+    for _ in range(rng.randint(1, lost)):
+        kinds.insert(rng.randrange(1, len(kinds) + 1), "wipe_beyond")
+    faults: list[Fault] = []
+    at_ms = 0
+    for kind in kinds:
+        faults.append(Fault(kind, at_ms, _length_ms(rng, kind), rng.randrange(1 << 30), rng.choice(PLACES)))
+        at_ms += rng.randrange(OVERLAP_GAP_MS)
+    end_ms = max(fault.at_ms + fault.for_ms for fault in faults)
+    requests = tuple(
+        Request(rng.choice(("lane", "shared")), at_ms, rng.randrange(1 << 30))
+        for at_ms in range(0, end_ms, OVERLAP_REQUEST_EVERY_MS)
+    )
+    return Plan(seed, cores, lost, zones, faults=tuple(faults), requests=requests)
+
+
 def _faults(rng: Random, zones: int) -> tuple[Fault, ...]:
     made: list[Fault] = []
     at_ms = rng.randrange(2000)
--- a/lilacsill/mesh/simulation/faults.py
+++ b/lilacsill/mesh/simulation/faults.py
@@ -39,6 +39,8 @@
         self._core_wide: dict[str, CoreWideStrike] = {
             **CoreWideFaults(world, losses, self.effects).kinds,
             "wipe_beyond": self._wipe_beyond,
+            "roll_term_beyond": self._strike_beyond,
+            "cut_beyond": self._strike_beyond,
         }
 
     def begin(self, fault: Fault) -> None:
@@ -109,6 +111,12 @@
         if targets:
             self._strike(msgspec.structs.replace(fault, kind="wipe"), targets, rng)
 
+    def _strike_beyond(self, fault: Fault, rng: Random) -> None:
+        """A fault that loses no disk strikes its machine, whatever else is lost."""
+        targets = self._targets(fault, rng)
+        if targets:
+            self._strike(msgspec.structs.replace(fault, kind=fault.kind.removesuffix("_beyond")), targets, rng)
+
     def _after_ack(self, fault: Fault, acker: str, rng: Random) -> None:
         """`how`: dark: all others lose power, too."""
         if self._time.now > self._until or not self._losses.allow([acker]):
--- a/lilacsill/mesh/simulation/schedules.py
+++ b/lilacsill/mesh/simulation/schedules.py
@@ -1,8 +1,10 @@
 """Schedules of the chain by seed, many at once; one that breaks a rule is made shorter as long as it still does.
 
-    python -m lilacsill.mesh.simulation schedules [--count=N] [--first=SEED] [--jobs=N] [--keep=FOLDER] [--single]
+    python -m lilacsill.mesh.simulation schedules [--count=N] [--first=SEED] [--jobs=N] [--keep=FOLDER]
+        [--single|--overlaps]
 
-Two kinds: days of faults close together (`fault_day`), and with --single days of single faults (`store_day`).
+Three kinds: days of faults close together (`fault_day`), with --single days of single faults (`store_day`), and with
+--overlaps days of losses that overlap beyond what may be lost, with no more lost disks than may be.
 Both are kept as files of JSON, and are read again by `kept`.
 """
 
@@ -17,7 +19,7 @@
 import msgspec
 
 from .fault_day import FaultDay, Plan
-from .fault_plans import plan_of
+from .fault_plans import overlap_plan_of, plan_of
 from .store_day import ACTS, Day
 
 
@@ -73,6 +75,11 @@
     return FaultSchedule(plan_of(seed))
 
 
+def drawn_overlaps(seed: int) -> FaultSchedule:
+    """Return the day of overlapping losses of a seed."""
+    return FaultSchedule(overlap_plan_of(seed))
+
+
 def decode_schedule(data: bytes) -> Playable:
     """A schedule from its file."""
     return msgspec.json.decode(data, type=Playable)
@@ -124,13 +131,16 @@
     return schedule.play()
 
 
-def schedules(count: int = 200, first: int = 0, jobs: int = 0, keep: str = "", single: bool = False) -> int:
+def schedules(
+    count: int = 200, first: int = 0, jobs: int = 0, keep: str = "", single: bool = False, overlaps: bool = False
+) -> int:
     """Play so many, and print what is broken; files of the shortest go to the folder --keep. 1 if anything is."""
     wrong = 0
     jobs = jobs or os.cpu_count() or 1
     seeds = range(first, first + count)
+    draw_faults = drawn_overlaps if overlaps else drawn_faults
     found: Iterator[tuple[Playable, str]] = (
-        broken(map(drawn, seeds), jobs) if single else broken(map(drawn_faults, seeds), jobs)
+        broken(map(drawn, seeds), jobs) if single else broken(map(draw_faults, seeds), jobs)
     )
     for schedule, reason in found:
         wrong += 1
--- a/lilacsill/mesh/store/chain.py
+++ b/lilacsill/mesh/store/chain.py
@@ -49,6 +49,7 @@
         self.successor = SuccessorLink(replica, self)
         self.predecessor = PredecessorLink(replica, self)
         replica.view_listeners.append(self._on_view)
+        replica.view_saved_listeners.append(self.complete_waiters)
 
     def start(self) -> None:
         """Begin to replicate."""
@@ -63,7 +64,7 @@
         The tail does not wait for a learner, and a learner does not wait for any machine.
         """
         replica = self._replica
-        if not replica.complete:
+        if not replica.complete or not replica.is_view_saved:
             return None
         if replica.is_tail or not replica.in_chain:
             return replica.state.seq
--- a/lilacsill/mesh/store/cluster_monitor.py
+++ b/lilacsill/mesh/store/cluster_monitor.py
@@ -48,7 +48,9 @@
             target_size = min_voters = self._tolerance.target_size
         known_machines = len(self._detector.peers())
         min_copies = self._tolerance.min_copies
-        return ClusterState(view, machines, min_copies, target_size, known_machines, min_voters)
+        return ClusterState(
+            view, machines, min_copies, target_size, known_machines, min_voters, observer=self._replica.me
+        )
 
     def reachable_outside_chain(self) -> list[Member]:
         """Return the machines outside the chain that replied recently."""
@@ -58,15 +60,17 @@
     def _machine(self, member: Member) -> MachineState:
         replica, detector = self._replica, self._detector
         if member == replica.me:
-            return MachineState(member, True, replica.complete, requested_departure(replica))
+            departure = requested_departure(replica)
+            return MachineState(
+                member, True, replica.complete, departure, complete_view=replica.complete_view, intact=replica.intact
+            )
         reply = detector.recent_reply(member, SUSPECT_AFTER_US)
         if reply is None:
             alive, disk_lost = detector.is_alive(member), detector.has_lost_disk(member)
             return MachineState(member, alive, None, disk_lost=disk_lost)
         if reply.view.number != replica.view.number:
-            complete = None  # unknown: its last reply is from another view
-        elif member in replica.view.chain:
-            complete = reply.complete
-        else:
-            complete = reply.synced
-        return MachineState(member, True, complete, reply.departure)
+            return MachineState(member, True, None, reply.departure)  # its last reply is from another view
+        complete = reply.complete if member in replica.view.chain else reply.synced
+        return MachineState(
+            member, True, complete, reply.departure, complete_view=reply.complete_view, intact=reply.intact
+        )
--- a/lilacsill/mesh/store/cluster_state.py
+++ b/lilacsill/mesh/store/cluster_state.py
@@ -19,6 +19,9 @@
             it is synced in this view. None: not reported in this view.
         departure: Whether the machine requests its removal from the chain, and why.
         disk_lost: Whether the machine has returned with another disk.
+        complete_view: The number of the latest view in which the machine was a complete member of the chain; -1: it
+            never was. None: not known, or not reported in this view.
+        intact: Whether its copy is as it was in that view or newer, and not partly overwritten by a repair.
     """
 
     member: Member
@@ -26,6 +29,8 @@
     complete: bool | None
     departure: Departure = Departure.NONE
     disk_lost: bool = False
+    complete_view: int | None = None
+    intact: bool = True
 
 
 class ClusterState(msgspec.Struct, frozen=True):
@@ -39,6 +44,7 @@
         known_machines: The number of known machines, including those that are down.
         min_voters: The number of voters that must remain, as far as there are any with their disks, so that a majority
             of them survives the tolerated losses.
+        observer: The member whose knowledge this is; its own state is certain.
     """
 
     view: View
@@ -47,6 +53,7 @@
     target_size: int
     known_machines: int
     min_voters: int
+    observer: Member | None = None
 
     @property
     def voters(self) -> list[MachineState]:
--- a/lilacsill/mesh/store/heartbeats.py
+++ b/lilacsill/mesh/store/heartbeats.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from functools import partial
 
-from lilacsill.mesh.runtime.messages import Heartbeat, HeartbeatReply, Message
+from lilacsill.mesh.runtime.messages import Heartbeat, HeartbeatReply, Message, View
 
 from .chain import Chain
 from .disk_health import is_disk_fast, requested_departure
@@ -38,10 +38,9 @@
 
     def send(self) -> None:
         """Send a heartbeat to each known machine from which no reply is outstanding."""
-        heartbeat = self._heartbeat()
         # Sorted, so that a simulation is deterministic for its seed.
         for address in sorted(self._others() - self._awaiting_reply):
-            self._send_to(address, heartbeat)
+            self._send_to(address)
 
     def send_state(self) -> None:
         """Send the changed state at once; a machine that still has to reply gets it right after its reply."""
@@ -51,7 +50,9 @@
     def _others(self) -> set[str]:
         return {*self._seeds, *self._detector.peers()} - {self._replica.me.address}
 
-    def _send_to(self, address: str, heartbeat: Heartbeat) -> None:
+    def _send_to(self, address: str) -> None:
+        last = self._detector.last_reply(address)
+        heartbeat = self._heartbeat(None if last is None else last.reply.view)
         self._awaiting_reply.add(address)
         on_reply = partial(self._on_reply, address, self._environment.now())
         self._environment.ask(address, heartbeat, HEARTBEAT_TIMEOUT_US, on_reply)
@@ -59,7 +60,7 @@
     def handle_heartbeat(self, heartbeat: Heartbeat, reply: Callable[[Message], None]) -> None:
         """Answer the heartbeat of another machine, and grant it a lease if it may have one."""
         self._learn_from(heartbeat)
-        own = self._heartbeat()
+        own = self._heartbeat(heartbeat.view)
         sender_is_responsive = self._detector.recent_reply(heartbeat.sender, RECENT_REPLY_US) is not None
         lease_us = self._lease_manager.lease_offer_us(heartbeat, sender_is_responsive)
         reply(
@@ -73,15 +74,19 @@
                 peers=own.peers,
                 complete=own.complete,
                 lease_us=lease_us,
+                complete_view=self._replica.complete_view,
+                intact=self._replica.intact,
             )
         )
         self._chain.resync(heartbeat.sender.address, heartbeat.view.number, heartbeat.synced)
 
-    def _heartbeat(self) -> Heartbeat:
+    def _heartbeat(self, known_view: View | None) -> Heartbeat:
+        """Return a heartbeat for a machine that has adopted `known_view`, as far as is known."""
         replica = self._replica
+        is_known = known_view is not None and known_view.number == replica.view.number
         return Heartbeat(
             sender=replica.me,
-            view=replica.view,
+            view=replica.view.without_history if is_known else replica.view,
             seq=replica.state.seq,
             view_pending=replica.view_pending,
             departure=requested_departure(replica),
@@ -103,7 +108,7 @@
         self._chain.resync(reply.sender.address, reply.view.number, reply.synced)
         if address in self._due_after_reply:
             self._due_after_reply.discard(address)
-            self._send_to(address, self._heartbeat())
+            self._send_to(address)
 
     def _learn_from(self, message: Heartbeat | HeartbeatReply) -> None:
         self._detector.learn_peers(message)
--- a/lilacsill/mesh/store/metrics.py
+++ b/lilacsill/mesh/store/metrics.py
@@ -27,6 +27,7 @@
     text.gauge("view", "Number of the view", view.number)
     text.gauge("view_members", "Members of the chain", len(view.chain))
     text.gauge("view_suspended", "Members that only vote", view.suspended)
+    text.gauge("too_few_copies", "1 while the chain is too short to commit changes", replica.has_too_few_copies)
     text.gauge("is_head", "1 at the head of the chain", replica.is_head)
     text.gauge("is_tail", "1 at the tail of the chain", replica.is_tail)
     text.gauge("lease_valid", "1 while a majority grants this replica a read lease", leases.is_valid())
--- a/lilacsill/mesh/store/node.py
+++ b/lilacsill/mesh/store/node.py
@@ -142,7 +142,7 @@
     is_initial_member = settings.fresh_start and settings.address in settings.seeds
     me = Member(settings.address, FIRST_INCARNATION if is_initial_member else settings.new_incarnation)
     view = View(0, initial_members(settings.seeds)) if is_initial_member else NO_VIEW
-    new = facts.StoredReplica(me, view, is_initial_member, 0, 0, AcceptorState())
+    new = facts.StoredReplica(me, view, is_initial_member, 0, 0, AcceptorState(), facts.NEVER_COMPLETE)
     replica = Replica(environment, new, (), min_copies)
     identity = {**replica.view_facts(), **facts.incarnation(me), **facts.sequence(0)}
     environment.save(Save(facts=identity), ignore_completion)
--- a/lilacsill/mesh/store/predecessor.py
+++ b/lilacsill/mesh/store/predecessor.py
@@ -67,15 +67,14 @@
         if not self._matches_own_role(request) or not (replica.complete or request.is_repair):
             reply(REJECTED)
             return
-        changed_facts = facts.completeness(request.last)
-        floor = replica.state.tombstone_floor
         if request.last:
-            changed_facts |= facts.sequence(request.seq)
+            changed_facts = {**facts.completeness(True), **facts.intactness(True), **facts.sequence(request.seq)}
             floor = request.tombstone_floor
         else:
             # Set immediately, not only after the chunk is on disk, because a view that is adopted in the meantime must
             # take the incomplete copy into account.
-            replica.complete = False
+            changed_facts = replica.begin_repair()
+            floor = replica.state.tombstone_floor
         self._chain.save_changes(
             request.items, request.ranges, changed_facts, floor, lambda: self._on_saved(request, reply)
         )
@@ -91,7 +90,7 @@
             self._chain.advance_successor()  # the saved changes are part of the state in the next view as well
             reply(REJECTED)
             return
-        replica.complete = replica.in_sync = request.last
+        replica.end_repair(request.last)
         if not request.last:
             reply(ReplicateReply(True, 0))
             return
--- a/lilacsill/mesh/store/reconfiguration.py
+++ b/lilacsill/mesh/store/reconfiguration.py
@@ -29,7 +29,9 @@
 
 - a majority of the current members, including the suspended ones, is alive; otherwise there is no view change;
 - the head is a complete machine of the current chain, so it has every acknowledged change. A learner, even a synced
-  one, is never the head of the view in which it joins: the last changes may have been acknowledged without it;
+  one, is never the head of the view in which it joins: the last changes may have been acknowledged without it. Only if
+  nothing was committed in the current chain, and no machine of it is complete, a complete machine of an earlier chain
+  may be the head (`recovery`);
 - a member that can still serve leaves only if enough complete copies remain (`_can_leave`);
 - a learner joins at the end of the chain, and is compared again with its predecessor before a change counts as being on
   its disk.
@@ -40,6 +42,7 @@
 from lilacsill.mesh.runtime.messages import Departure, Member, View
 
 from .cluster_state import ClusterState, MachineState
+from .recovery import History, find_recovery, next_history
 
 
 def next_view(cluster: ClusterState) -> View | None:
@@ -48,14 +51,27 @@
         return None
     staying = _complete_first(_without_departing(cluster))
     if not staying:
-        return None
+        return _recovered_view(cluster)
     chain = [*staying, *_joining_learners(cluster, staying)]
     has_same_machines = {machine.member for machine in chain} == set(cluster.view.chain)
     if has_same_machines and not _is_head_incomplete(cluster.live_chain[0], chain[0]):
         return None  # a different order alone does not justify a view change
+    return _view_of(cluster, chain, next_history(cluster))
+
+
+def _recovered_view(cluster: ClusterState) -> View | None:
+    """Return the view that continues from a copy outside the chain, since no machine of the chain is complete."""
+    recovery = find_recovery(cluster)
+    if recovery is None:
+        return None
+    rest = [machine for machine in cluster.live_chain if not machine.departure and machine is not recovery.head]
+    return _view_of(cluster, [recovery.head, *rest], recovery.history)
+
+
+def _view_of(cluster: ClusterState, chain: list[MachineState], history: History) -> View:
     suspended = _suspended(cluster, chain)
     members = tuple(machine.member for machine in (*chain, *suspended))
-    return View(cluster.view.number + 1, members, len(suspended))
+    return View(cluster.view.number + 1, members, len(suspended), history)
 
 
 def learners_to_sync(cluster: ClusterState, spares: int) -> list[MachineState]:
--- a/lilacsill/mesh/store/status.py
+++ b/lilacsill/mesh/store/status.py
@@ -22,6 +22,8 @@
         "head": replica.is_head,
         "tail": replica.is_tail,
         "complete": replica.complete,
+        "complete_view": replica.complete_view,
+        "too_few_copies": replica.has_too_few_copies,
         "synced": chain.synced,
         "learners": membership.learner_states(),
         "leaving": membership.departure_blocker(),
--- a/lilacsill/mesh/store/view_proposer.py
+++ b/lilacsill/mesh/store/view_proposer.py
@@ -1,7 +1,8 @@
 """Proposals of the next view. No I/O.
 
-Any member of the chain may propose. To limit concurrent proposals, each member delays its proposal according to its
-position among the live members: the first proposes immediately, and the others only if no view has been chosen by then.
+Any member of the chain may propose, and if no machine of the chain is complete, any voter. To limit concurrent
+proposals, each member delays its proposal according to its position among the live members: the first proposes
+immediately, and the others only if no view has been chosen by then.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 from .failure_detector import FailureDetector
 from .paxos import Proposal, ProposalCallbacks
 from .reconfiguration import next_view
+from .recovery import find_recovery
 from .replica import Replica
 
 PROPOSER_DELAY_US = 150_000  # each member waits this much longer than the live member before it
@@ -38,7 +40,7 @@
     def check(self) -> None:
         """Propose the next view if a view change is needed and this member's delay has elapsed."""
         replica, now = self._replica, self._environment.now()
-        if not replica.in_chain or self._proposal is not None:
+        if not self._may_propose() or self._proposal is not None:
             return
         desired = self.next_view() or self._pending_view()
         if desired is None:
@@ -46,10 +48,15 @@
             return
         if self._desired_view is None or not _has_same_members(desired, self._desired_view):
             self._desired_view, self._desired_since_us = desired, now
-        alive = [member for member in replica.view.chain if self._detector.is_alive(member)]
+        alive = [member for member in replica.view.members if self._detector.is_alive(member)]
         if now - self._desired_since_us >= alive.index(replica.me) * PROPOSER_DELAY_US:
             self._propose(desired)
 
+    def _may_propose(self) -> bool:
+        """Return whether this machine is in the chain, or is a voter that must rebuild it with a copy from outside."""
+        replica = self._replica
+        return replica.in_chain or (replica.is_member and find_recovery(self._monitor.state()) is not None)
+
     def next_view(self) -> View | None:
         """Return the next view; None if the current view needs no change or cannot be changed."""
         return next_view(self._monitor.state())
@@ -65,12 +72,23 @@
         replica = self._replica
         self._round += 1
         ballot = Ballot(max(self._round, replica.acceptor.state.promised.number + 1), replica.me.address)
+        self._log_recovery()
         log.info("%s proposes view %d: %s", replica.me.address, desired.number, desired)
         callbacks = ProposalCallbacks(self._ask_voter, partial(self._on_chosen, replica.view), self._on_failed)
         self._proposal = proposal = Proposal(replica.view, desired, ballot, callbacks)
         self._environment.after(PROPOSAL_TIMEOUT_US, self._on_timeout, proposal)
         proposal.begin()
 
+    def _log_recovery(self) -> None:
+        recovery = find_recovery(self._monitor.state())
+        if recovery is not None:
+            log.warning(
+                "no machine of the chain of view %d is complete; it continues from the copy of %s, complete in view %d",
+                self._replica.view.number,
+                recovery.head.member.address,
+                recovery.head.complete_view,
+            )
+
     def _ask_voter(self, voter: Member, request: Message, on_answer: Callable[[Message | None], None]) -> None:
         self._environment.ask(voter.address, request, VOTE_TIMEOUT_US, on_answer)
 
--- a/tests/control/defects_point_3.py
+++ b/tests/control/defects_point_3.py
@@ -5,8 +5,8 @@
 import pytest
 from msgspec.structs import replace
 
-from lilacsill.mesh.runtime.messages import Departure, View
-from lilacsill.mesh.store import leaving, reconfiguration
+from lilacsill.mesh.runtime.messages import Departure, PastView, View
+from lilacsill.mesh.store import leaving, reconfiguration, recovery, view_proposer
 from lilacsill.mesh.store.chain import Chain
 from lilacsill.mesh.store.membership import Membership
 from lilacsill.mesh.store.predecessor import PredecessorLink
@@ -107,6 +107,37 @@
     patch.setattr(reconfiguration, "_suspended", suspended)
 
 
+def nobody_rebuilds_the_chain(patch: Patch) -> None:
+    for module in (reconfiguration, view_proposer):
+        patch.setattr(module, "find_recovery", lambda cluster: None)
+
+
+def any_complete_copy_rebuilds_the_chain(patch: Patch) -> None:
+    """Also one from before a view in which changes may have been committed."""
+    patch.setattr(recovery, "_was_never_committed", lambda cluster, past: True)
+    patch.setattr(recovery, "_is_never_committed", lambda cluster: True)
+
+
+def a_copy_that_a_repair_overwrites_rebuilds_the_chain(patch: Patch) -> None:
+    def may_lead_after(machine: MachineState, past: PastView) -> bool:
+        return real(replace(machine, intact=True), past)
+
+    real = recovery._may_lead_after
+    patch.setattr(recovery, "_may_lead_after", may_lead_after)
+
+
+def a_view_counts_before_it_is_on_disk(patch: Patch) -> None:
+    patch.setattr(Replica, "is_view_saved", property(lambda self: True, lambda self, value: None), raising=False)
+
+
+def a_view_forgets_the_ones_before(patch: Patch) -> None:
+    patch.setattr(reconfiguration, "next_history", lambda cluster: recovery.next_history(cluster)[:1])
+
+
+def short_chains_are_remembered(patch: Patch) -> None:
+    patch.setattr(ClusterState, "has_too_few_copies", False)
+
+
 def the_tail_waits_for_its_learner(patch: Patch) -> None:
     def committed(self: Chain) -> int | None:
         if self._replica.is_tail and self._replica.learner is not None:
--- a/tests/control/test_point_3_membership.py
+++ b/tests/control/test_point_3_membership.py
@@ -26,6 +26,7 @@
     a_stranger_answers_in_its_old_place,
     a_view_gives_votes_away,
     learners_join_before_they_are_filled,
+    nobody_rebuilds_the_chain,
     the_only_disk_acknowledges,
     the_tail_waits_for_its_learner,
     who_leaves_loses_its_vote,
@@ -223,6 +224,36 @@
     assert acknowledged(fleet, operator, 2 * SECOND)
 
 
+def all_that_is_left_is_outside_the_chain() -> bool:
+    """Two machines are dark in turn; the third, alone in the chain when the first is back, loses its disk."""
+    fleet, operator = begun(23)
+    one, two, three = chain_of(fleet)
+    fleet.net.machines[one].end(power=True)
+    run(fleet, SECOND)
+    assert acknowledged(fleet, operator, SECOND, 8)
+    fleet.net.machines[two].end(power=True)
+    run(fleet, SECOND)
+    fleet.start(one)
+    fleet.net.machines[one].disk.sync_us = 100 * MS
+    while chain_of(fleet) != [three]:
+        run(fleet, MS)
+    empty_disk(fleet, three)
+    for address in (two, three):
+        fleet.start(address)
+    run(fleet, 6 * SECOND)
+    versions = [store.replica.state.version("route", "r") for store in fleet.stores.values()]
+    return versions == [8, 8, 8] and acknowledged(fleet, operator, 2 * SECOND)
+
+
+def test_a_complete_copy_outside_the_chain_serves_when_the_chain_has_lost_its_disk(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The disk of a suspended machine had all that was acknowledged, and no view could follow (review, case 5).
+    assert all_that_is_left_is_outside_the_chain()
+    nobody_rebuilds_the_chain(monkeypatch)
+    assert not all_that_is_left_is_outside_the_chain()
+
+
 def acknowledged_by_the_only_machine_left() -> bool:
     """One machine is dark, and one is stopped in order."""
     fleet, operator = begun(22)
--- a/tests/mesh/test_messages.py
+++ b/tests/mesh/test_messages.py
@@ -9,12 +9,28 @@
 import msgspec
 import pytest
 
+from lilacsill.mesh.runtime import messages
 from lilacsill.mesh.runtime.frames import FrameDecoder, encode_frame
 from lilacsill.mesh.runtime.messages import AnyMessage, Endpoint, EndpointState, Offer, Poll, Replicate, decode, encode
 
 RECORDED = json.loads((Path(__file__).parent / "data" / "frames_of_version_0_1.json").read_text())
 OLDER = [recorded for recorded in RECORDED if "added_fields" in recorded]  # than the last fields of their message
-CURRENT = [recorded for recorded in RECORDED if "added_fields" not in recorded]
+OLDER_VIEWS = [recorded for recorded in RECORDED if "now" in recorded]  # than the history of a view
+CURRENT = [recorded for recorded in RECORDED if "added_fields" not in recorded and "now" not in recorded]
+
+
+class EarlierView(msgspec.Struct, array_like=True):
+    """A view as the version before knows it."""
+
+    number: int
+    members: list[list[str]]
+    suspended: int = 0
+
+
+class EarlierViewChange(msgspec.Struct, array_like=True, tag="ViewChange"):
+    """The message that carries it."""
+
+    view: EarlierView
 
 
 def payload_of(recorded: dict[str, str]) -> bytes:
@@ -41,6 +57,35 @@
     assert len(fields) + recorded["added_fields"] == len(message.__struct_fields__)
 
 
+@pytest.mark.parametrize("recorded", OLDER_VIEWS, ids=lambda recorded: str(recorded["message"]))
+def test_a_frame_with_a_view_that_has_no_history_is_encoded_with_an_empty_one(recorded: Any) -> None:
+    ((number, payload),) = FrameDecoder().feed(bytes.fromhex(recorded["frame"]))
+    message = decode(payload)
+    assert encode_frame(number, encode(message)).hex() == recorded["now"]
+    tag, *fields = msgspec.msgpack.decode(payload)
+    now = without_histories(msgspec.msgpack.decode(encode(message)))
+    assert now[: 1 + len(fields)] == [tag, *fields]
+    assert now[1 + len(fields) :] == ([None, True] if tag == "HeartbeatReply" else [])
+
+
+def without_histories(value: Any) -> Any:
+    """The same with each view as it was: its number, its members and how many of them are suspended."""
+    if not isinstance(value, list):
+        return value
+    if len(value) == 4 and isinstance(value[1], list) and value[3] == []:
+        return value[:3]
+    return [without_histories(part) for part in value]
+
+
+def test_a_process_of_the_version_before_reads_a_view_with_its_history() -> None:
+    frame = payload_of(next(recorded for recorded in CURRENT if recorded["message"] == "ViewChange"))
+    sent = decode(frame)
+    assert isinstance(sent, messages.ViewChange) and sent.view.history
+    read = msgspec.msgpack.decode(frame, type=EarlierViewChange).view
+    assert (read.number, read.suspended) == (sent.view.number, sent.view.suspended)
+    assert read.members == [[member.address, member.incarnation] for member in sent.view.members]
+
+
 def test_a_process_of_the_version_before_reads_a_patch_with_its_origin() -> None:
     class Patch(msgspec.Struct, array_like=True, tag=True):
         body: bytes
--- a/tests/mesh/test_stored_by_previous_version.py
+++ b/tests/mesh/test_stored_by_previous_version.py
@@ -16,7 +16,7 @@
 import msgspec
 import pytest
 
-from lilacsill.mesh.runtime.messages import Item, Member, View
+from lilacsill.mesh.runtime.messages import Item, Member, PastView, View
 from lilacsill.mesh.runtime.reactor import Reactor
 from lilacsill.mesh.simulation.network import Machine, Net
 from lilacsill.mesh.store.accepted_changes import ChangeKind, classify_change
@@ -139,8 +139,24 @@
     disk = contents(reactor, folder)
     assert disk.facts == FACTS
     replica = recovered(disk)
-    assert replica.view_facts() == {"view": FACTS["view"], "whole": FACTS["whole"]}
-    assert msgspec.msgpack.encode(replica.acceptor.state) == FACTS["accord"]
+    view = msgspec.msgpack.decode(FACTS["view"])
+    assert replica.view_facts() == {"view": msgspec.msgpack.encode([*view, []]), "whole": b"1", "intact": b"1"}
+    *vote, accepted = msgspec.msgpack.decode(FACTS["accord"])
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(replica.acceptor.state)) == [*vote, [*accepted, []]]
+
+
+def test_the_version_before_reads_what_is_written_now(reactor: Reactor, folder: Path) -> None:
+    class EarlierView(msgspec.Struct, array_like=True):
+        number: int
+        members: list[list[str]]
+        suspended: int = 0
+
+    replica = recovered(contents(reactor, folder))
+    replica.adopt(View(2, (SECOND, ME), 1, (PastView(1, (ME, SECOND)),)))
+    written = replica.view_facts()
+    view = msgspec.msgpack.decode(written["view"], type=EarlierView)
+    assert (view.number, view.suspended, len(view.members)) == (2, 1, 2)
+    assert written["whole"] == b"0" and written["complete_view"] == b"1"
 
 
 def test_the_file_is_not_changed_by_reading_it(reactor: Reactor, folder: Path) -> None:
