Weights of waiting requests are logarithms, so that no rank of a route overflows

Cause: admission control computed 1.5 to the power of the rank, which raises OverflowError from 1,751 on. Locally the exception dropped the client's connection; for another machine's offer it ended in the event loop and the offer was never answered.

Change: weights are kept and compared as logarithms. The order, and what displaces what, stay as they were up to rounding.

--- a/lilacsill/mesh/proxy/admission.py
+++ b/lilacsill/mesh/proxy/admission.py
@@ -19,6 +19,7 @@
 from collections.abc import Callable
 from enum import StrEnum
 from heapq import heapify, heappop, heappush
+from math import inf, log
 
 from lilacsill.mesh.runtime.messages import Load
 
@@ -32,9 +33,14 @@
 # Weight factor of a late request, which has 0.3 of its value left. Its client may have been refused before, and a
 # second refusal costs 0.3 of the value.
 LATE_WEIGHT = 2.2
-STARVED_WEIGHT = 0.0  # weight of a request of a starved kind
 DISPLACING_SHARE = 0.5  # of the heaviest waiting request's weight: a request below it displaces that request
 
+# Weights are kept and compared as logarithms: the weight of a route with a rank of some thousands is no valid float.
+LOG_PRIORITY_WEIGHT = log(PRIORITY_WEIGHT)
+LOG_LATE_WEIGHT = log(LATE_WEIGHT)
+LOG_DISPLACING_SHARE = log(DISPLACING_SHARE)
+STARVED_LOG_WEIGHT = -inf  # of a request of a starved kind
+
 
 class AdmissionState(StrEnum):
     """The state of a request in admission control."""
@@ -59,7 +65,7 @@
         "is_late",
         "state",
         "started_at",
-        "weight",
+        "log_weight",
     )
 
     def __init__(
@@ -89,7 +95,7 @@
         self.on_started, self.on_rejected = on_started, on_rejected
         self.state = AdmissionState.NEW
         self.started_at = 0
-        self.weight = 0.0  # the request with the lowest weight goes first
+        self.log_weight = 0.0  # the request with the lowest weight goes first
 
 
 class AdmissionController:
@@ -124,11 +130,11 @@
         if self.running < self.slots and not self.waiting:
             self._start(request, now)
             return None
-        request.weight = self._weight(request)
+        request.log_weight = self._log_weight(request)
         displaced = None
         if self.waiting >= MAX_WAITING_PER_SLOT * self.slots:
             displaced = self._heaviest_waiting()
-            if displaced is None or request.weight >= DISPLACING_SHARE * displaced.weight:
+            if displaced is None or request.log_weight >= displaced.log_weight + LOG_DISPLACING_SHARE:
                 return RejectionReason.FULL
         if now + self._expected_wait_us(request) > request.start_by:
             return RejectionReason.FULL
@@ -201,22 +207,23 @@
         request.state = AdmissionState.WAITING
         self.waiting += 1
         self._sequence += 1
-        heappush(self._queue, (request.weight, self._sequence, request))
+        heappush(self._queue, (request.log_weight, self._sequence, request))
 
-    def _weight(self, request: AdmissionRequest) -> float:
+    def _log_weight(self, request: AdmissionRequest) -> float:
         if self._served_shares.is_starved(request.kind):
-            return STARVED_WEIGHT
-        weight = (
-            self.durations.expected_us(request.route, request.fleet_duration_ms) * PRIORITY_WEIGHT**request.priority
-        )
-        return weight * LATE_WEIGHT if request.is_late else weight
+            return STARVED_LOG_WEIGHT
+        expected_us = max(1, self.durations.expected_us(request.route, request.fleet_duration_ms))
+        log_weight = log(expected_us) + request.priority * LOG_PRIORITY_WEIGHT
+        return log_weight + LOG_LATE_WEIGHT if request.is_late else log_weight
 
     def _heaviest_waiting(self) -> AdmissionRequest | None:
         waiting = (request for _, _, request in self._queue if request.state is AdmissionState.WAITING)
-        return max(waiting, key=lambda request: request.weight, default=None)
+        return max(waiting, key=lambda request: request.log_weight, default=None)
 
     def _expected_wait_us(self, request: AdmissionRequest) -> float:
         ahead = sum(
-            1 for _, _, other in self._queue if other.state is AdmissionState.WAITING and other.weight <= request.weight
+            1
+            for log_weight, _, other in self._queue
+            if other.state is AdmissionState.WAITING and log_weight <= request.log_weight
         )
         return (ahead + 1) * 1000 * self.durations.mean_or_default_ms() / self.slots
--- a/tests/mesh/proxy/test_admission.py
+++ b/tests/mesh/proxy/test_admission.py
@@ -158,3 +158,29 @@
 def test_late_work_displaces_no_other_late_work() -> None:
     backend = full_of_late_work()
     assert backend.admit(backend.request("back4", start_by=100 * S, fleet_duration_ms=100, is_late=True), S) == "full"
+
+
+HIGHEST_RANK = 2**53  # that a route may have
+
+
+def test_a_rank_of_any_size_is_ordered_like_the_others() -> None:
+    # A rank above 1,750 made the weight overflow; the connections of clients at a full backend broke (review, case 6).
+    ranks = (HIGHEST_RANK, 1751, 10_000, 0, 1750)
+    backend = Backend(slots=len(ranks))
+    running = [backend.request("running") for _ in ranks]
+    for request in running:
+        backend.admit(request)
+    for rank in ranks:
+        assert backend.admit(backend.request(str(rank), rank)) is None
+    for request in running:
+        backend.admission.finish(request, 100 * MS, measured=True)
+    assert backend.started[len(ranks) :] == ["0", "1750", "1751", "10000", str(HIGHEST_RANK)]
+
+
+def test_a_full_queue_rejects_and_displaces_whatever_the_rank() -> None:
+    backend = Backend(slots=1)
+    backend.admit(backend.request("running"))
+    assert backend.admit(backend.request("least urgent", HIGHEST_RANK)) is None
+    assert backend.admit(backend.request("as urgent", HIGHEST_RANK)) is RejectionReason.FULL
+    assert backend.admit(backend.request("urgent", 0)) is None
+    assert backend.rejected == [("least urgent", RejectionReason.FULL)]
