A heartbeat with a number that no message can carry is refused

Seen by tests of numbers at their limits, not by a caller: a heartbeat with FreeSlots, CallCount or ColdLeftMs beyond 64 bits got 200, and the endpoint could not be encoded for the registries, so that no machine heard of that backend any more.

Cause: the numbers of a heartbeat had no bounds.

With the numbers at their bounds the endpoint is encoded.

--- a/lilacsill/mesh/proxy/backend_lifecycle.py
+++ b/lilacsill/mesh/proxy/backend_lifecycle.py
@@ -18,6 +18,7 @@
 RETURN_AFTER_HEARTBEATS = 2
 # A successful health check does not prove that the backend is not draining: without a heartbeat it expires after this.
 HEALTH_CHECK_VALID_US = 3_000_000
+MAX_REPORTED_NUMBER = 2**53  # larger JSON numbers are no longer exact when decoded as floats
 DRAIN_SHARE = 0.5  # of the drain time: requests admitted before the drain may start during this part of it
 
 
@@ -56,15 +57,23 @@
         return BackendHeartbeat(
             server,
             str(details["TargetService"]),
-            int(details["FreeSlots"]),
+            _reported_number(details["FreeSlots"]),
             condition["ServerState"] != EndpointState.READY,
-            int(condition["CallCount"]),
-            int(condition.get("ColdLeftMs", 0)),
+            _reported_number(condition["CallCount"]),
+            _reported_number(condition.get("ColdLeftMs", 0)),
         )
     except (KeyError, TypeError, ValueError):
         return None
 
 
+def _reported_number(value: Any) -> int:
+    """Return a number of a heartbeat. Raises ValueError if it is not one, or is larger than a message may carry."""
+    number = int(value)
+    if abs(number) > MAX_REPORTED_NUMBER:
+        raise ValueError
+    return number
+
+
 class BackendLifecycle:
     """The lifecycle of the backend of this machine."""
 
--- a/tests/mesh/proxy/test_heartbeat_api.py
+++ b/tests/mesh/proxy/test_heartbeat_api.py
@@ -12,6 +12,7 @@
 from lilacsill.mesh.proxy.backend_lifecycle import BackendLifecycle
 from lilacsill.mesh.proxy.heartbeat_api import HeartbeatApi
 from lilacsill.mesh.runtime.control import ControlServer
+from lilacsill.mesh.runtime.messages import Endpoint, Poll, decode, encode
 from tests.control.point_5_world import caller, statuses
 from tests.mesh.stage import LOOPBACK, Stage, request, stage
 
@@ -53,6 +54,31 @@
     assert calls.heartbeat(2) == 200 and calls.notified == 1
 
 
+@pytest.mark.parametrize("number", [2**53 + 1, -(2**53) - 1, 2**64, 10**100, "9" * 5000], ids=lambda n: str(n)[:20])
+@pytest.mark.parametrize("field", ["FreeSlots", "CallCount", "ColdLeftMs"])
+def test_a_number_that_no_message_carries_is_refused(calls: Calls, field: str, number: int | str) -> None:
+    # Announcements of a backend with such a number could not be encoded: no machine heard of it any more.
+    assert calls.call("PUT", PATH, heartbeat_with(field, number)) == 400 and not calls.notified
+
+
+@pytest.mark.parametrize("number", [2**53, -(2**53), 0])
+@pytest.mark.parametrize("field", ["FreeSlots", "CallCount", "ColdLeftMs"])
+def test_the_largest_numbers_are_announced(calls: Calls, field: str, number: int) -> None:
+    assert calls.call("PUT", PATH, heartbeat_with(field, number)) == 200 and calls.notified == 1
+    life = calls.lifecycle
+    warmup_left_ms = max(0, life.warming_up_until) // 1000
+    endpoint = Endpoint("n", 1, 1, "h", 1, "z", life.service, life.server, life.state, life.slots, warmup_left_ms)
+    assert decode(encode(Poll(endpoint, 1, 1, 1, 1, 0, [])))
+
+
+def heartbeat_with(field: str, number: int | str) -> bytes:
+    """A whole heartbeat in which one number is this one."""
+    details: dict[str, object] = {"TargetService": "stock", "FreeSlots": 4}
+    condition: dict[str, object] = {"ServerState": "ready", "CallCount": 1, "ColdLeftMs": 0}
+    (details if field in details else condition)[field] = number
+    return msgspec.json.encode({"Details": details, "Condition": condition})
+
+
 def test_a_drain_is_announced_once(calls: Calls) -> None:
     calls.heartbeat(1)
     assert calls.heartbeat(2, "draining") == 200 and calls.lifecycle.state == "draining" and calls.notified == 2
