A long number in a backend's response no longer ends its connection

Seen by tests of numbers at their limits, not by a caller: a complete response with over 4,300 digits in Server-Load or Keep-Alive counted as none.

Cause: Python converts no such text to an integer, and the exception ended the connection. Change: parse_decimal takes 15 digits; a longer number is malformed, like any other text there. The numbers of routes, limits and Time-Left-Ms are tried at their limits, too, and held.

Tests: four cases of test_number_limits and test_server_load fail on the code before.

--- a/lilacsill/mesh/proxy/backend_connection.py
+++ b/lilacsill/mesh/proxy/backend_connection.py
@@ -7,11 +7,13 @@
 from httptools import HttpResponseParser
 
 from lilacsill.http1.connection import Connection
+from lilacsill.http1.decimal import parse_decimal
 from lilacsill.http1.message import Message, Reader, encode_chunk, encode_request_head
 from lilacsill.mesh.runtime.messages import Headers
 
 from .reasons import FailureReason
 
+US_PER_S = 1_000_000
 MAX_IDLE_US = 4_000_000  # backends close idle connections after some time; a request sent at that moment would be lost
 KEEP_ALIVE_SHARE = 0.5  # of the timeout in the backend's `Keep-Alive` header
 STREAMING_THRESHOLD_BYTES = 64 * 1024  # a longer response is streamed; a shorter one is forwarded when it is complete
@@ -217,6 +219,7 @@
     """Return how long the connection may be idle according to the `Keep-Alive` header of a response."""
     for parameter in response.fields.get(b"keep-alive", b"").split(b","):
         name, _, value = parameter.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.strip().isdigit():
-            return min(MAX_IDLE_US, int(int(value) * 1_000_000 * KEEP_ALIVE_SHARE))
+        timeout_s = parse_decimal(value) if name.lower() == b"timeout" else None
+        if timeout_s is not None:
+            return min(MAX_IDLE_US, int(timeout_s * US_PER_S * KEEP_ALIVE_SHARE))
     return MAX_IDLE_US
--- a/lilacsill/mesh/proxy/server_load.py
+++ b/lilacsill/mesh/proxy/server_load.py
@@ -5,20 +5,21 @@
 
 from __future__ import annotations
 
+from lilacsill.http1.decimal import parse_decimal
+
 FIELD_COUNT = 3
 
 
 def reported_requests(header: bytes) -> int | None:
     """Return the number of requests at the backend, running and waiting."""
     parts = header.split(b",")
-    if len(parts) != FIELD_COUNT or not (parts[0].strip().isdigit() and parts[1].strip().isdigit()):
+    if len(parts) != FIELD_COUNT:
         return None
-    return int(parts[0]) + int(parts[1])
+    running, waiting = parse_decimal(parts[0]), parse_decimal(parts[1])
+    return None if running is None or waiting is None else running + waiting
 
 
 def reported_slots(header: bytes) -> int | None:
     """Return the number of slots: how many requests the backend processes concurrently."""
     parts = header.split(b",")
-    if len(parts) != FIELD_COUNT or not parts[2].strip().isdigit():
-        return None
-    return int(parts[2])
+    return parse_decimal(parts[2]) if len(parts) == FIELD_COUNT else None
--- a/tests/mesh/proxy/test_server_load.py
+++ b/tests/mesh/proxy/test_server_load.py
@@ -11,7 +11,7 @@
     assert reported_requests(b"2, 1,4") == 3 and reported_slots(b"2, 1,4") == 4
 
 
-@pytest.mark.parametrize("header", [b"", b"4", b"1,0", b"1,0,4,5", b"a,b,c"])
+@pytest.mark.parametrize("header", [b"", b"4", b"1,0", b"1,0,4,5", b"a,b,c", b"%b,%b,%b" % ((b"9" * 5000,) * 3)])
 def test_a_malformed_header_reports_nothing(header: bytes) -> None:
     assert reported_requests(header) is None and reported_slots(header) is None
 
--- a/tests/mesh/test_number_limits.py
+++ b/tests/mesh/test_number_limits.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Iterator
 from typing import Any
 
@@ -14,9 +15,11 @@
 from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import Item
 
-from .stage import Stage, request, stage
+from .stage import Stage, answer, request, stage
 
 HIGHEST = 2**53  # number in the configuration
+SMALLEST = 5e-324  # positive number in JSON
+LONG_NUMBER = b"9" * 5000  # more digits than Python converts to an integer
 REQUESTS = 8
 SERVED, REFUSED = 200, 503
 
@@ -65,3 +68,76 @@
     assert len(answered) == REQUESTS and set(answered) <= {SERVED, REFUSED}
     at.settle()
     assert not faults and not at.gateways["far"].requests
+
+
+@pytest.mark.parametrize(
+    ("target", "fields"),
+    [
+        ({}, {"TargetMs": HIGHEST}),
+        ({}, {"TargetMs": 0}),
+        ({}, {"TargetMs": SMALLEST}),
+        ({"TimeoutMs": HIGHEST}, {}),
+        ({"TimeoutMs": HIGHEST}, {"TargetMs": HIGHEST}),
+        ({"MaxTries": HIGHEST}, {}),
+        ({"MaxTries": 1}, {}),
+        ({"TrafficSplit": [{"TargetService": "stock", "Share": SMALLEST}]}, {}),
+        ({"TrafficSplit": [{"TargetService": "stock", "Share": HIGHEST}] * 3}, {}),
+        ({"TrafficSplit": [{"TargetService": "stock", "Share": 0}, {"TargetService": "stock", "Share": SMALLEST}]}, {}),
+        (
+            {"TrafficSplit": [{"TargetService": "none", "Share": 0}, {"TargetService": "stock", "Share": HIGHEST}]},
+            {},
+        ),
+    ],
+    ids=str,
+)
+def test_a_number_of_a_route_at_its_limit(
+    at: Stage, faults: list[str], target: dict[str, Any], fields: dict[str, Any]
+) -> None:
+    at.add("far", slots=REQUESTS)
+    routed(at, target, **fields)
+    assert statuses(at) == [SERVED] * REQUESTS
+    at.settle()
+    assert not faults
+
+
+@pytest.mark.parametrize("left_ms", [999_999_999, HIGHEST, 10**5000], ids=["9 digits", "16 digits", "5001 digits"])
+def test_a_time_that_a_client_has_left_at_its_limit(at: Stage, faults: list[str], left_ms: int) -> None:
+    sys_limit = sys.get_int_max_str_digits()
+    sys.set_int_max_str_digits(0)
+    try:
+        at.add("far", slots=REQUESTS)
+        assert statuses(at, left_ms=left_ms) == [SERVED] * REQUESTS
+    finally:
+        sys.set_int_max_str_digits(sys_limit)
+    assert not faults
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        b"Server-Load: %b,0,4" % LONG_NUMBER,
+        b"Server-Load: 1,%b,4" % LONG_NUMBER,
+        b"Server-Load: 1,1,%b" % LONG_NUMBER,
+        b"Server-Load: 1,%d,4" % 2**64,
+        b"Keep-Alive: timeout=%b" % LONG_NUMBER,
+        b"Keep-Alive: timeout=%d" % 2**64,
+        b"Retry-After: %b" % LONG_NUMBER,
+    ],
+    ids=lambda header: header[:24].decode(),
+)
+def test_a_number_in_a_response_of_a_backend_at_its_limit(at: Stage, faults: list[str], header: bytes) -> None:
+    backend = at.add("far", slots=REQUESTS)
+    backend.script = ["sends what is prepared"] * REQUESTS
+    backend.prepared = lambda request: answer(request, b"prepared", more=header + b"\r\n")
+    assert statuses(at) == [SERVED] * REQUESTS
+    at.settle()
+    assert not faults
+
+
+@pytest.mark.parametrize("field", ["HeaderWaitMs", "IdleTimeoutMs", "MaxBodyBytes", "MaxHeaderBytes"])
+def test_a_limit_on_clients_at_its_highest(at: Stage, faults: list[str], field: str) -> None:
+    at.add("far", slots=REQUESTS)
+    at.forwarder.config.apply([Item("limits", "", 1, 3, msgspec.json.encode({field: HIGHEST}))], 3)
+    assert statuses(at) == [SERVED] * REQUESTS
+    at.settle()
+    assert not faults
