The event loop waits an hour at most, so that no timer is too far ahead

Seen by a test, not by a caller: a process whose next timer is some 10^13 ms ahead, as HeaderWaitMs and IdleTimeoutMs allow, would end, because epoll takes no such wait. Every program has sooner timers.

Change: the wait for events ends after an hour. Test: test_a_timer_that_is_years_ahead_does_not_end_the_event_loop fails on the code before.

--- a/lilacsill/mesh/runtime/reactor.py
+++ b/lilacsill/mesh/runtime/reactor.py
@@ -20,6 +20,7 @@
 from .log_ring import log
 
 MAX_EVENTS_PER_ITERATION = 256  # limits the delay of timers in a burst of events
+MAX_WAIT_S = 3_600.0  # for events; epoll cannot wait for more than 24 days
 WAKE_UP_READ_BYTES = 4096  # one byte per wake-up; remaining bytes are read in the next iteration
 READABLE, WRITABLE = select.EPOLLIN, select.EPOLLOUT
 BROKEN = select.EPOLLHUP | select.EPOLLERR
@@ -149,7 +150,7 @@
         due_at = self._wheel.next_due_us
         if due_at is None:
             return -1.0
-        return max(0.0, (due_at - self.now()) / 1e6)
+        return min(max(0.0, (due_at - self.now()) / 1e6), MAX_WAIT_S)
 
     def _call(self, callback: Callable[..., Any], args: tuple[Any, ...]) -> None:
         """Run one callback.
--- a/tests/mesh/test_number_limits.py
+++ b/tests/mesh/test_number_limits.py
@@ -12,8 +12,10 @@
 import msgspec
 import pytest
 
+from lilacsill.mesh.runtime import reactor as event_loop
 from lilacsill.mesh.runtime.log_ring import log
 from lilacsill.mesh.runtime.messages import Item
+from lilacsill.net import reactor as watchers
 
 from .stage import Stage, answer, request, stage
 
@@ -141,3 +143,15 @@
     assert statuses(at) == [SERVED] * REQUESTS
     at.settle()
     assert not faults
+
+
+def test_a_timer_that_is_years_ahead_does_not_end_the_event_loop() -> None:
+    loop = event_loop.Reactor()
+    try:
+        loop.after(HIGHEST * 1000, lambda: None)
+        assert 0 < loop._wait_s() <= event_loop.MAX_WAIT_S
+        loop.after(10_000, loop.stop)
+        loop.run()
+    finally:
+        loop.close()
+        watchers.install(None)
