One RegistryNode connects the parts of a registry, in the process and in virtual time

Cause: the process and the simulated registry connected the same seven parts and had the periodic check of nodes twice.

Change: lilacsill/mesh/registry/node.py has both; the process keeps sockets, signals and the shutdown. Nothing that leaves a process changes.

--- a/lilacsill/mesh/virtual_soak/core_host.py
+++ b/lilacsill/mesh/virtual_soak/core_host.py
@@ -8,7 +8,7 @@
 from lilacsill.mesh.simulation.store_fleet import Fleet
 
 from .addresses import registry_address, store_address
-from .virtual_registry import VirtualRegistry
+from .virtual_registry import start_registry
 
 
 class CoreHost:
@@ -30,7 +30,7 @@
     def _start_registry(self) -> None:
         self.registry.clock_offset, self.registry.clock_rate = self.store.clock_offset, self.store.clock_rate
         self.registry.begin()
-        VirtualRegistry(self.registry, self._seeds, Random(self._rng.random()))
+        start_registry(self.registry, self._seeds, Random(self._rng.random()))
 
     def start(self) -> None:
         """Start both processes with what is on the disk, unless they run."""
--- a/tests/control/control_plane.py
+++ b/tests/control/control_plane.py
@@ -220,8 +220,8 @@
                 version = store.replica.state.version("route", "r")
                 self._judge("store", address, -1 if version is None else version)
         for ip, registry in self.registries.items():
-            if self._awake(f"{ip}:0") and registry._config.is_current:
-                known: dict[tuple[str, str], Item] = registry._config.cache._items
+            if self._awake(f"{ip}:0") and registry._node.config.is_current:
+                known: dict[tuple[str, str], Item] = registry._node.config.cache._items
                 self._judge("registry", ip, known["route", "r"].version)
         for ip, proxy in self.proxies.items():
             if self._awake(f"{ip}:0") and proxy.is_config_current():
--- a/tests/control/test_point_1_leases.py
+++ b/tests/control/test_point_1_leases.py
@@ -74,7 +74,7 @@
     Operator(plane.fleet, "b").call(order, lambda status: found.append((status, plane.time.now - cut_at)))
     plane.run(PARTITION_US - SECOND)
     assert [status for status, _ in found] == [200] and found[0][1] < FOUND_US, found
-    isolated = [plane.registries[ip_of(a)]._config.is_current for a in smaller]
+    isolated = [plane.registries[ip_of(a)]._node.config.is_current for a in smaller]
     if (
         any(isolated)
         or plane.proxies[PROXIES[2]].is_config_current()
@@ -176,7 +176,7 @@
         plane.run(2 * SECOND)
     plane.net.partition({registry}, {member})
     plane.run(5 * SECOND)
-    if plane.registries[ip_of(member)]._config.is_current or not all(
+    if plane.registries[ip_of(member)]._node.config.is_current or not all(
         p.is_config_current() for p in plane.proxies.values()
     ):
         raise RuleBroken("a registry without its store calls its configuration current, or proxies stay with it")
--- a/tests/control/test_point_5_callers.py
+++ b/tests/control/test_point_5_callers.py
@@ -242,7 +242,7 @@
     with stage() as mesh:
         monkeypatch.setattr("time.time_ns", lambda: 0)
         runs = [registry_at(mesh, monkeypatch, Address(LOOPBACK, 1), SECOND) for _ in range(2)]
-        assert len({run._directory.incarnation for run in runs}) == 2
+        assert len({run._node.directory.incarnation for run in runs}) == 2
 
 
 def test_no_incarnation_is_zero_which_stands_for_none() -> None:
