--- a/tests/mesh/proxy/test_admission.py
+++ b/tests/mesh/proxy/test_admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from lilacsill.mesh.proxy.admission import AdmissionController, AdmissionRequest
 from lilacsill.mesh.proxy.reasons import RejectionReason
 
@@ -184,3 +186,16 @@
     assert backend.admit(backend.request("as urgent", HIGHEST_RANK)) is RejectionReason.FULL
     assert backend.admit(backend.request("urgent", 0)) is None
     assert backend.rejected == [("least urgent", RejectionReason.FULL)]
+
+
+FARTHEST = 2**63 - 1  # number in a message of another proxy
+
+
+@pytest.mark.parametrize("priority", [-FARTHEST, FARTHEST])
+@pytest.mark.parametrize("expected_ms", [1, FARTHEST])
+def test_the_farthest_numbers_of_an_offer_are_weighed(priority: int, expected_ms: int) -> None:
+    backend = Backend(slots=1)
+    backend.admit(backend.request("running"))
+    assert backend.admit(backend.request("far", priority, FARTHEST, fleet_duration_ms=expected_ms)) is None
+    assert backend.admit(backend.request("near", 1, FARTHEST)) in (None, RejectionReason.FULL)
+    assert backend.in_flight() == 2
--- a/tests/mesh/test_quota.py
+++ b/tests/mesh/test_quota.py
@@ -23,6 +23,7 @@
 from lilacsill.mesh.store.metrics import encode_metrics
 from lilacsill.mesh.store.quotas import TENANT
 from lilacsill.mesh.store.status import status_of
+from lilacsill.mesh.tenants.tenant import parse_tenant
 
 LIMITS = QuotaLimits(TimingBounds())
 SMALL, LARGE = TenantLimit(5, 5), TenantLimit(128, 128)
@@ -367,3 +368,25 @@
     fleet.net.time.run(5 * SECOND)
     store.handlers[TokenRequest](TokenRequest([TokenDemand(tenant, 1)]), replies.append)
     assert [len(reply.grants) for reply in replies] == [1, 0]
+
+
+HIGHEST, SMALLEST = 2**53, 5e-324  # numbers that an operator may set
+
+
+@pytest.mark.parametrize("burst", [0.0, SMALLEST, HIGHEST])
+@pytest.mark.parametrize("rate", [SMALLEST, 1.0, HIGHEST])
+def test_a_quota_at_its_limits_is_decided_and_the_answer_can_be_sent(rate: float, burst: float) -> None:
+    member = Member()
+    member.limits["shop"] = TenantLimit(rate, burst)
+    for wait_us in (0, SECOND, 10**15):
+        member.time += wait_us
+        (grant,) = grants = member.ask(3)
+        assert 0 <= grant.granted <= 3 and (grant.granted == 3) == (grant.retry_after_ms == 0)
+        assert decode(encode(TokenReply(grants, 1, []))) == TokenReply(grants, 1, [])
+
+
+def test_the_highest_numbers_of_a_tenant_are_read() -> None:
+    body = {"Name": "shop", "ConfigVersion": "r1", "ApiKeys": ["k"], "Rank": HIGHEST}
+    body |= {"RatePerS": HIGHEST, "BurstSize": SMALLEST}
+    tenant = parse_tenant(Item("tenant", "shop", 1, 1, msgspec.json.encode(body)))
+    assert (tenant.rank, tenant.rate_per_s, tenant.burst) == (HIGHEST, HIGHEST, SMALLEST)
