Tests: one body of MaxBodyBytes is served in calm, announced or in a chunk

The new crowd-marked tests send 8 MiB to a proxy of 96 MB and expect 200, and 413 for one byte more. They pass on the code as it is.

The backend of the loopback mesh refused bodies over 16 MiB, so larger ones could not be tried; it takes 64 MiB now, the largest limit that the proxies' own readers have.

--- a/lilacsill/mesh/simulation/loopback.py
+++ b/lilacsill/mesh/simulation/loopback.py
@@ -43,6 +43,7 @@
 OPERATOR_RETRY_US = 200_000
 NO_RESPONSE = 0  # in place of an HTTP status
 SERVICE = "s"
+MAX_BODY_BYTES = 64 * 1024 * 1024  # of a request to a backend
 CORE_GROUP, SIDECAR_GROUP = 1, 2  # of the addresses
 
 
@@ -104,7 +105,7 @@
 
     def __init__(self, backend: Backend) -> None:
         super().__init__()
-        self._backend, self._reader = backend, Reader(HttpRequestParser, 1 << 24)
+        self._backend, self._reader = backend, Reader(HttpRequestParser, MAX_BODY_BYTES)
 
     def on_data(self, data: bytes) -> None:
         """Work on each request for a time."""
--- a/tests/crowds/requests.py
+++ b/tests/crowds/requests.py
@@ -53,6 +53,11 @@
     return start(method, path, b"Content-Length: %d\r\n" % len(body)) + b"\r\n" + body
 
 
+def complete_chunked(method: bytes, path: bytes, body: bytes) -> bytes:
+    """Return a complete request with a body in one chunk, whose length isn't announced."""
+    return start(method, path, b"Transfer-Encoding: chunked\r\n") + b"\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+
+
 def repeated(request: bytes, count: int) -> Pieces:
     """Send the same request again and again, without waiting for responses."""
     return iter([request] * count)
--- a/tests/crowds/test_clients_of_a_proxy.py
+++ b/tests/crowds/test_clients_of_a_proxy.py
@@ -6,12 +6,24 @@
 
 import pytest
 
+from lilacsill.address import Address
+from lilacsill.http1.message import Message
+from lilacsill.mesh.simulation.http_call import HttpCall
+from lilacsill.mesh.simulation.loopback import LoopbackMesh
 from lilacsill.mesh.simulation.loopback_processes import OUTGOING_PORT, ProcessKey, Program
 
 from . import requests
 from .crowd import PIECE_BYTES, Pieces
 from .requests import MEGABYTE, crowd_of
-from .stage import MAX_BODY_BYTES, Attack, assert_client_is_served, assert_process_holds, mesh
+from .stage import (
+    MAX_BODY_BYTES,
+    PATIENCE_S,
+    Attack,
+    assert_all_live,
+    assert_client_is_served,
+    assert_process_holds,
+    mesh,
+)
 
 pytestmark = pytest.mark.crowd
 
@@ -20,6 +32,7 @@
 SIXTEEN_READS = requests.plain_head(HELD) * 16
 CLOSING_READ = requests.start(b"GET", HELD, b"Connection: close\r\n") + b"\r\n"
 NEARLY_64_KB = 64 * 1024 - 512
+PATIENCE_US = 15_000_000
 
 CROWDS: dict[str, tuple[int, Callable[[], Pieces]]] = {
     "heads-of-short-lines": (24, crowd_of(requests.repeated, requests.head(requests.short_lines, HELD), 60)),
@@ -60,6 +73,24 @@
     play(Attack(size, pieces, reads=False, pause_us=REQUEST_PAUSE_US))
 
 
+@pytest.mark.parametrize("encode", [requests.complete, requests.complete_chunked], ids=["announced", "chunked"])
+def test_a_single_body_of_the_largest_size_is_served_in_calm(encode: Callable[[bytes, bytes, bytes], bytes]) -> None:
+    with mesh() as made:
+        statuses = [
+            status_of(made, encode(b"POST", b"/reads/a", b"x" * size)) for size in (MAX_BODY_BYTES, MAX_BODY_BYTES + 1)
+        ]
+        assert statuses == [200, 413]
+        assert_all_live(made)
+
+
+def status_of(made: LoopbackMesh, request: bytes) -> int | None:
+    """Return the status that a client of the first proxy gets, or None without a response."""
+    responses: list[Message | None] = []
+    HttpCall(made.reactor, Address(made.sidecars[0], OUTGOING_PORT), request, PATIENCE_US, responses.append)
+    assert made.until(lambda: bool(responses), PATIENCE_S)
+    return responses[0].status if responses[0] is not None else None
+
+
 def play(attack: Attack) -> None:
     with mesh() as made:
         key = ProcessKey(Program.PROXY, made.sidecars[0])
