Numbers in the settings file are checked, and an error names the key

What operators saw: a number of the settings file that is none (`MemoryMb = "many"`, an infinite `DiskMb`) ended every program with a traceback in place of one line and status 2, and so did a value where a table is expected. NaN, true, negative numbers, and 0 for BeatEveryMs, MemoryMb or FileHandles were taken as they stood; `RetryRatio=nan` and `RetrySlack=-1` went into the retry budget.

Cause: the values were converted with int() and float() where they were read; only addresses and ports had a check.

Change: each number is from 0 or 1 to 1,000,000,000 in the unit of its key; the error names table, key and range. Among TimingBounds a value that is no finite number is left out, as other words already were.

A limit of 0 in `Limits` of the configuration held before; it is among the tests now.

--- a/lilacsill/mesh/runtime/settings.py
+++ b/lilacsill/mesh/runtime/settings.py
@@ -13,6 +13,7 @@
 
 ENVIRONMENT_VARIABLE = "LILACSILL_SETTINGS"
 MAX_PORT = 65535
+MAX_NUMBER = 10**9  # of a quantity in the unit of its key
 STORE_PORT_INDEX = 1  # offset of the store's port in the internal ports; proxies and registries use the first one
 US_PER_MS, US_PER_S = 1_000, 1_000_000
 
@@ -106,7 +107,7 @@
         SettingsError: A required value is missing, or a value is invalid.
     """
     fields = _Fields(path, raw)
-    limits, survive = raw.get("Limits", {}), raw.get("Survive", {})
+    limits, survive, listen = fields.table("Limits"), fields.table("Survive"), fields.table("ListenOn")
     app_address = raw.get("AppAddress")
     return Settings(
         path=path,
@@ -117,73 +118,109 @@
         seeds=tuple(fields.address("SeedNodes", seed) for seed in fields.required("SeedNodes", list)),
         fresh_start=bool(raw.get("FreshStart", False)),
         loss_counts=bool(raw.get("LossCounts", False)),
-        max_lost_machines=int(survive.get("LostMachines", 1)),
-        max_lost_zones=max(int(survive.get("Zones", 0)), int(survive.get("LostRegions", 0))),
+        max_lost_machines=survive.integer("LostMachines", default=1, lowest=0),
+        max_lost_zones=max(
+            survive.integer("Zones", default=0, lowest=0), survive.integer("LostRegions", default=0, lowest=0)
+        ),
         data_dir=str(raw.get("DataFolder", "")),
-        heartbeat_interval_us=int(raw.get("BeatEveryMs", 1500)) * US_PER_MS,
+        heartbeat_interval_us=fields.integer("BeatEveryMs", default=1500, lowest=1) * US_PER_MS,
         timing=parse_timing_bounds(path, raw.get("TimingBounds", [])),
-        listen={name: fields.address(f"ListenOn.{name}", text) for name, text in raw.get("ListenOn", {}).items()},
+        listen=listen.addresses(),
         backend_address=None if app_address is None else fields.address("AppAddress", app_address),
         service=str(raw.get("TargetService", "")),
-        max_memory_mb=int(limits.get("MemoryMb", 300)),
-        max_open_files=int(limits.get("FileHandles", 4096)),
-        link_mbps=float(limits.get("LinkMbps", 1000.0)),
-        disk_mb=int(limits.get("DiskMb", 0)),
+        max_memory_mb=limits.integer("MemoryMb", default=300, lowest=1),
+        max_open_files=limits.integer("FileHandles", default=4096, lowest=1),
+        link_mbps=float(limits.number("LinkMbps", default=1000.0, lowest=0)),
+        disk_mb=limits.integer("DiskMb", default=0, lowest=0),
     )
 
 
 class _Fields:
-    """The values of a settings file, with type checks."""
+    """The values of a settings file or of one of its tables, with checks of type and range."""
 
-    def __init__(self, path: str, raw: dict[str, Any]) -> None:
+    def __init__(self, path: str, raw: dict[str, Any], prefix: str = "") -> None:
         self._path = path
         self._raw = raw
+        self._prefix = prefix
 
     def required(self, key: str, kind: type) -> Any:
         value = self._raw.get(key)
         if not isinstance(value, kind):
-            raise SettingsError(self._path, key, f"must be a {kind.__name__}, is {value!r}")
+            raise self._error(key, f"must be a {kind.__name__}, is {value!r}")
         return value
 
+    def table(self, key: str) -> _Fields:
+        """Return the fields of a table; a missing one is empty."""
+        value = self._raw.get(key, {})
+        if not isinstance(value, dict):
+            raise self._error(key, f"must be a table, is {value!r}")
+        return _Fields(self._path, value, f"{self._prefix}{key}.")
+
+    def number(self, key: str, default: float, lowest: float) -> float:
+        """Return a number in the allowed range, which excludes NaN and infinity, or the default for a missing key."""
+        value = self._raw.get(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not lowest <= value <= MAX_NUMBER:
+            raise self._error(key, f"must be a number from {lowest} to {MAX_NUMBER}, is {_shown(value)}")
+        return value
+
+    def integer(self, key: str, default: int, lowest: int) -> int:
+        """Return a number like `number`, without its fraction."""
+        return int(self.number(key, default, lowest))
+
     def address(self, key: str, text: Any) -> Address:
         try:
             return parse_address(text)
         except (ValueError, AttributeError):
-            raise SettingsError(self._path, key, f"must be an address HOST:PORT, is {text!r}") from None
+            raise self._error(key, f"must be an address HOST:PORT, is {text!r}") from None
+
+    def addresses(self) -> dict[str, Address]:
+        """Return all values of a table of addresses."""
+        return {key: self.address(key, text) for key, text in self._raw.items()}
 
     def port_range(self, key: str) -> tuple[int, int]:
         ports = self.required(key, list)
         valid = len(ports) == 2 and all(isinstance(port, int) and 0 < port <= MAX_PORT for port in ports)
         if not valid or ports[0] > ports[1]:
-            raise SettingsError(self._path, key, f"must be two ports in ascending order, is {ports!r}")
+            raise self._error(key, f"must be two ports in ascending order, is {ports!r}")
         return ports[0], ports[1]
 
+    def _error(self, key: str, problem: str) -> SettingsError:
+        return SettingsError(self._path, self._prefix + key, problem)
+
+
+def _shown(value: Any) -> str:
+    """Return a value as an error message shows it; an integer may have more digits than Python prints."""
+    if isinstance(value, int) and abs(value) > MAX_NUMBER:
+        return "larger" if value > 0 else "negative"
+    return repr(value)
+
 
 def parse_timing_bounds(path: str, texts: Any) -> TimingBounds:
     """Parse the value of the key TimingBounds: `name=value` strings, in a list or separated by commas.
 
     Raises:
-        SettingsError: The value is neither a list nor a string.
+        SettingsError: The value is neither a list nor a string, or a number is outside its range.
     """
     values = parse_timing_values(path, texts)
+    fields = _Fields(path, values, "TimingBounds.")
     defaults = TimingBounds()
     return TimingBounds(
-        drain_us=_duration_us(values, "DrainWithinMs", defaults.drain_us),
-        grace_period_us=_duration_us(values, "GracePeriodS", defaults.grace_period_us),
-        retry_window_us=_duration_us(values, "RetryWindowS", defaults.retry_window_us),
-        retry_ratio=values.get("RetryRatio", defaults.retry_ratio),
-        retry_slack=values.get("RetrySlack", defaults.retry_slack),
-        key_window_us=_duration_us(values, "KeyWindowS", defaults.key_window_us),
-        quota_window_us=_duration_us(values, "QuotaWindowS", defaults.quota_window_us),
-        quota_over=values.get("QuotaOver", defaults.quota_over),
-        quota_slack=values.get("QuotaSlack", defaults.quota_slack),
+        drain_us=_duration_us(fields, "DrainWithinMs", defaults.drain_us),
+        grace_period_us=_duration_us(fields, "GracePeriodS", defaults.grace_period_us),
+        retry_window_us=_duration_us(fields, "RetryWindowS", defaults.retry_window_us),
+        retry_ratio=fields.number("RetryRatio", defaults.retry_ratio, lowest=0),
+        retry_slack=fields.number("RetrySlack", defaults.retry_slack, lowest=0),
+        key_window_us=_duration_us(fields, "KeyWindowS", defaults.key_window_us),
+        quota_window_us=_duration_us(fields, "QuotaWindowS", defaults.quota_window_us),
+        quota_over=fields.number("QuotaOver", defaults.quota_over, lowest=0),
+        quota_slack=fields.number("QuotaSlack", defaults.quota_slack, lowest=0),
     )
 
 
 def parse_timing_values(path: str, texts: Any) -> dict[str, float]:
     """Return the values of the key TimingBounds by name.
 
-    The values `true` and `false` become 1 and 0; other values that are not numbers are ignored.
+    The values `true` and `false` become 1 and 0; other values that are not finite numbers are ignored.
 
     Raises:
         SettingsError: The value is neither a list nor a string.
@@ -197,15 +234,15 @@
         name, _, value = str(text).partition("=")
         value = {"true": "1", "false": "0"}.get(value.strip(), value.strip())
         try:
-            values[name.strip()] = float(value)
+            number = float(value)
         except ValueError:
             continue
+        if isfinite(number):
+            values[name.strip()] = number
     return values
 
 
-def _duration_us(values: dict[str, float], name: str, default_us: int) -> int:
+def _duration_us(fields: _Fields, name: str, default_us: int) -> int:
     """Return a duration; its unit follows from the suffix of the name: S for seconds, Ms for milliseconds."""
-    value = values.get(name)
-    if value is None or not isfinite(value):
-        return default_us
-    return int(value * (US_PER_S if name.endswith("S") else US_PER_MS))
+    unit_us = US_PER_S if name.endswith("S") else US_PER_MS
+    return int(fields.number(name, default_us / unit_us, lowest=0) * unit_us)
--- a/tests/mesh/test_number_limits.py
+++ b/tests/mesh/test_number_limits.py
@@ -137,9 +137,10 @@
 
 
 @pytest.mark.parametrize("field", ["HeaderWaitMs", "IdleTimeoutMs", "MaxBodyBytes", "MaxHeaderBytes"])
-def test_a_limit_on_clients_at_its_highest(at: Stage, faults: list[str], field: str) -> None:
+@pytest.mark.parametrize("limit", [0, HIGHEST])
+def test_a_limit_on_clients_at_its_lowest_and_its_highest(at: Stage, faults: list[str], field: str, limit: int) -> None:
     at.add("far", slots=REQUESTS)
-    at.forwarder.config.apply([Item("limits", "", 1, 3, msgspec.json.encode({field: HIGHEST}))], 3)
+    at.forwarder.config.apply([Item("limits", "", 1, 3, msgspec.json.encode({field: limit}))], 3)
     assert statuses(at) == [SERVED] * REQUESTS
     at.settle()
     assert not faults
--- a/tests/mesh/test_settings.py
+++ b/tests/mesh/test_settings.py
@@ -5,11 +5,20 @@
 import json
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
+from typing import Any
 
 import pytest
 
-from lilacsill.mesh.runtime.settings import SettingsError, load_settings, parse_timing_values
+from lilacsill.mesh.runtime.settings import (
+    SettingsError,
+    TimingBounds,
+    load_settings,
+    parse_settings,
+    parse_timing_bounds,
+    parse_timing_values,
+)
 
 GOOD = """NodeName = "sidecar-1"
 IpAddress = "10.1.0.35"
@@ -89,6 +98,102 @@
     assert problem in str(raised.value)
 
 
+LONG_NUMBER = "9" * 5000  # more digits than Python prints
+NUMBERS = (
+    "BeatEveryMs",
+    "Limits.MemoryMb",
+    "Limits.FileHandles",
+    "Limits.LinkMbps",
+    "Limits.DiskMb",
+    "Survive.LostMachines",
+    "Survive.Zones",
+    "Survive.LostRegions",
+)
+TIMES = ("DrainWithinMs", "GracePeriodS", "RetryWindowS", "KeyWindowS", "QuotaWindowS")
+BOUNDS = (*TIMES, "RetryRatio", "RetrySlack", "QuotaOver", "QuotaSlack")
+
+
+def raw_settings(key: str, value: object) -> dict[str, Any]:
+    """Valid settings with this value; a dot separates the name of a table from that of its key."""
+    raw: dict[str, Any] = tomllib.loads(GOOD)
+    table, _, name = key.rpartition(".")
+    (raw.setdefault(table, {}) if table else raw)[name] = value
+    return raw
+
+
+@pytest.mark.parametrize("key", NUMBERS)
+@pytest.mark.parametrize(
+    "value",
+    [
+        -1,
+        10**9 + 1,
+        2**64,
+        float("nan"),
+        float("inf"),
+        float("-inf"),
+        True,
+        "many",
+        [],
+        {},
+        pytest.param(10**8000, id="8000 digits"),
+    ],
+    ids=str,
+)
+def test_a_number_that_cannot_be_meant_is_an_error_with_its_key(key: str, value: object) -> None:
+    # The program ended with a traceback, or took the number (a negative one, NaN) for a limit.
+    with pytest.raises(SettingsError) as raised:
+        parse_settings("file", raw_settings(key, value))
+    assert raised.value.key == key
+    assert raised.value.problem.startswith("must be a number from ")
+
+
+@pytest.mark.parametrize("key", ["BeatEveryMs", "Limits.MemoryMb", "Limits.FileHandles"])
+def test_a_number_that_may_not_be_zero(key: str) -> None:
+    with pytest.raises(SettingsError) as raised:
+        parse_settings("file", raw_settings(key, 0))
+    assert (raised.value.key, raised.value.problem) == (key, "must be a number from 1 to 1000000000, is 0")
+
+
+@pytest.mark.parametrize("key", NUMBERS)
+@pytest.mark.parametrize("value", [1, 2.5, 10**9])
+def test_a_number_at_its_limit_is_taken(key: str, value: float) -> None:
+    parse_settings("file", raw_settings(key, value))
+
+
+@pytest.mark.parametrize("key", ["Limits", "Survive", "ListenOn"])
+def test_a_value_in_place_of_a_table_is_an_error(key: str) -> None:
+    with pytest.raises(SettingsError) as raised:
+        parse_settings("file", raw_settings(key, 7))
+    assert (raised.value.key, raised.value.problem) == (key, "must be a table, is 7")
+
+
+@pytest.mark.parametrize("name", BOUNDS)
+@pytest.mark.parametrize("text", ["-1", "1000000001", "1e300", "9" * 300])
+def test_a_time_bound_that_cannot_be_meant_is_an_error_with_its_name(name: str, text: str) -> None:
+    with pytest.raises(SettingsError) as raised:
+        parse_timing_bounds("file", [f"{name}={text}"])
+    assert raised.value.key == f"TimingBounds.{name}"
+
+
+@pytest.mark.parametrize("name", BOUNDS)
+@pytest.mark.parametrize("text", ["nan", "inf", "-inf", LONG_NUMBER], ids=["nan", "inf", "-inf", "5000 digits"])
+def test_a_time_bound_that_is_no_finite_number_has_its_default(name: str, text: str) -> None:
+    assert parse_timing_bounds("file", [f"{name}={text}"]) == TimingBounds()
+
+
+@pytest.mark.parametrize("name", BOUNDS)
+@pytest.mark.parametrize("text", ["0", "0.25", "1000000000"])
+def test_a_time_bound_at_its_limit_is_taken(name: str, text: str) -> None:
+    parse_timing_bounds("file", [f"{name}={text}"])
+
+
+@pytest.mark.parametrize("port", ["65536", "-1", LONG_NUMBER], ids=["65536", "-1", "5000 digits"])
+def test_a_port_that_is_none_is_an_error(port: str) -> None:
+    with pytest.raises(SettingsError) as raised:
+        parse_settings("file", raw_settings("ListenOn.ControlPort", f"10.1.0.35:{port}"))
+    assert raised.value.key == "ListenOn.ControlPort"
+
+
 def test_an_error_carries_the_key_and_the_problem_as_facts(settings_file: Path) -> None:
     settings_file.write_text(GOOD.replace('NodeName = "sidecar-1"', "NodeName = 7"))
     with pytest.raises(SettingsError) as raised:
