--- a/lilacsill/mesh/store/reconfiguration.py
+++ b/lilacsill/mesh/store/reconfiguration.py
@@ -15,8 +15,7 @@
 that of three, but one of three may lose its disk while another one restarts. If so many other members are down that the
 remaining ones would not be a majority, members that are down lose their votes instead, but never so many that the loss
 of the tolerated number of disks could leave no majority (`ClusterState.min_voters`). With fewer machines alive than
-that requires, nothing is decided until others are back. A vote that would make their number even is not kept for that:
-the next view change would need one more machine, and no more lost disks would be survived.
+that requires, nothing is decided until others are back.
 
 No change is committed in a view whose chain is too short for the tolerated losses. Such a view only serves to bring
 learners up to date, which then join the chain (`cluster_state.required_copies`).
@@ -118,10 +117,7 @@
         suspended += terminating[:1]
     missing_votes = min(cluster.min_voters - len(chain), free_votes) - len(suspended)
     others = [machine for machine in (*down, *terminating) if machine not in suspended]
-    retained = others[: max(0, missing_votes)]
-    if (len(chain) + len(suspended) + len(retained)) % 2 == 0:
-        retained = retained[:-1]  # an even number of voters survives no more lost disks than one voter less
-    return suspended + retained
+    return suspended + others[: max(0, missing_votes)]
 
 
 def _is_terminating(machine: MachineState) -> bool:
